Lay out the workspace: core types, error kinds, ranked locks and the seams of the decision libraries

Cause: an empty tree. Ruled out: one large module, because the users ask for a workspace of small libraries with narrow interfaces. Change: one Maven module per concern, identifiers, the closed list of error kinds, locks with a checked order, typed configuration documents, and the interfaces of routing and admission with a baseline policy each.

--- /dev/null
+++ b/admission/src/main/java/coriandersill/admission/FixedLimitAdmission.java
@@ -0,0 +1,62 @@
+package coriandersill.admission;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.GenerationId;
+import coriandersill.core.lock.LockRank;
+import coriandersill.core.lock.RankedLock;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Admits up to a fixed number of requests and refuses the rest at once; the baseline of the comparisons. */
+public final class FixedLimitAdmission implements AdmissionController {
+    private final RankedLock lock = RankedLock.of(LockRank.ADMISSION);
+    private final Set<GenerationId> running = new HashSet<>();
+    private final int limit;
+
+    private FixedLimitAdmission(int limit) {
+        this.limit = limit;
+    }
+
+    /** Returns a gate that admits {@code limit} requests, 1 or more. */
+    public static FixedLimitAdmission of(int limit) {
+        if (limit < 1) {
+            throw new IllegalArgumentException("limit: expected 1 or more, found " + limit);
+        }
+        return new FixedLimitAdmission(limit);
+    }
+
+    @Override
+    public AdmissionDecision offer(AdmissionRequest request) {
+        return lock.with(() -> {
+            if (running.size() >= limit) {
+                return new AdmissionDecision.Refused(
+                        request.id(), CallFailure.of(ErrorKind.OVERLOADED, "upstream is at its limit of " + limit));
+            }
+            running.add(request.id());
+            return new AdmissionDecision.Admitted(request.id());
+        });
+    }
+
+    @Override
+    public void generated(GenerationId id, int tokens) {
+        // The fixed limit does not depend on tokens.
+    }
+
+    @Override
+    public List<AdmissionDecision> finished(GenerationId id, Completion completion) {
+        lock.run(() -> running.remove(id));
+        return List.of();
+    }
+
+    @Override
+    public List<AdmissionDecision> expire() {
+        return List.of();
+    }
+
+    @Override
+    public UpstreamLoad load() {
+        return new UpstreamLoad(lock.with(running::size), 0, limit, false, 0, 0);
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/coriandersill/configuration/Document.java
@@ -0,0 +1,8 @@
+package coriandersill.configuration;
+
+/** The content of one configuration document, immutable. */
+public sealed interface Document permits ServiceDocument, WorkspaceDocument, ZoneDocument, RolloutDocument {
+
+    /** The document's name. */
+    DocumentName documentName();
+}
--- /dev/null
+++ b/configuration/src/main/java/coriandersill/configuration/ZoneDocument.java
@@ -0,0 +1,25 @@
+package coriandersill.configuration;
+
+import coriandersill.core.AvailabilityZone;
+import java.util.Objects;
+
+/**
+ * An availability zone and whether it is in service.
+ *
+ * @param zone the availability zone
+ * @param region the region it lies in
+ * @param inService whether it takes new work
+ */
+public record ZoneDocument(AvailabilityZone zone, String region, boolean inService) implements Document {
+
+    /** Refuses null. */
+    public ZoneDocument {
+        Objects.requireNonNull(zone, "zone");
+        Objects.requireNonNull(region, "region");
+    }
+
+    @Override
+    public DocumentName documentName() {
+        return DocumentName.of(DocumentKind.ZONE, zone.value());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/coriandersill/core/Names.java
@@ -0,0 +1,17 @@
+package coriandersill.core;
+
+import java.util.regex.Pattern;
+
+/** Checks the text of identifiers. */
+final class Names {
+    private static final Pattern ALLOWED = Pattern.compile("[A-Za-z0-9._:-]{1,200}");
+
+    private Names() {}
+
+    static void check(String kind, String value) {
+        if (value == null || !ALLOWED.matcher(value).matches()) {
+            throw new IllegalArgumentException(
+                    kind + ": expected 1 to 200 letters, digits, '.', '_', '-' or ':', found \"" + value + "\"");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/coriandersill/core/ServiceName.java
@@ -0,0 +1,35 @@
+package coriandersill.core;
+
+import java.util.Objects;
+
+/**
+ * The name of a service that callers address.
+ *
+ * <pre>{@code
+ * ServiceName name = ServiceName.of("scribe");
+ * }</pre>
+ *
+ * @param value from 1 to 200 letters, digits and {@code . _ - :}
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+
+    /** Checks the name; throws {@link IllegalArgumentException} when it is empty, too long or has other characters. */
+    public ServiceName {
+        Names.check("service", value);
+    }
+
+    /** Returns the name for its text; null is refused. */
+    public static ServiceName of(String value) {
+        return new ServiceName(Objects.requireNonNull(value, "value"));
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/events/src/main/java/coriandersill/events/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events, written as one JSON line each through {@link java.lang.System.Logger}. */
+package coriandersill.events;
--- /dev/null
+++ b/leases/src/main/java/coriandersill/leases/package-info.java
@@ -0,0 +1,2 @@
+/** Decides who holds a lease and which orders a fencing token allows. */
+package coriandersill.leases;
--- /dev/null
+++ b/quota/src/main/java/coriandersill/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Decides how much of the shared capacity each workspace may use. */
+package coriandersill.quota;
--- /dev/null
+++ b/workers/src/main/java/coriandersill/workers/WorkerPool.java
@@ -0,0 +1,90 @@
+package coriandersill.workers;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.ManagedService;
+import java.time.Duration;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+
+/**
+ * A fixed set of threads with a bounded queue, over the shared tables.
+ *
+ * <pre>{@code
+ * WorkerPool workers = WorkerPool.of("entry", 4, 10_000);
+ * CompletableFuture<Route> route = workers.submit(() -> router.choose(request));
+ * }</pre>
+ *
+ * <p>A task that finds the queue full is refused with {@link ErrorKind#OVERLOADED}; nothing waits for room.
+ */
+public final class WorkerPool implements ManagedService, Executor {
+    private final ThreadPoolExecutor executor;
+    private final String name;
+
+    private WorkerPool(String name, int threads, int queueCapacity) {
+        this.name = name;
+        AtomicInteger number = new AtomicInteger();
+        this.executor = new ThreadPoolExecutor(
+                threads, threads, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(queueCapacity), task -> {
+                    Thread thread = new Thread(task, name + "-worker-" + number.incrementAndGet());
+                    thread.setDaemon(true);
+                    return thread;
+                });
+    }
+
+    /** Returns a pool of {@code threads} threads that queues at most {@code queueCapacity} tasks. */
+    public static WorkerPool of(String name, int threads, int queueCapacity) {
+        if (threads < 1 || queueCapacity < 1) {
+            throw new IllegalArgumentException(
+                    "threads and queueCapacity: expected 1 or more, found " + threads + " and " + queueCapacity);
+        }
+        return new WorkerPool(name, threads, queueCapacity);
+    }
+
+    /** Runs {@code task} on a worker; fails with {@link ErrorKind#OVERLOADED} when the queue is full. */
+    public <T> CompletableFuture<T> submit(Supplier<T> task) {
+        try {
+            return CompletableFuture.supplyAsync(task, executor);
+        } catch (RejectedExecutionException e) {
+            return refusal().asFuture();
+        }
+    }
+
+    /** Runs {@code task} on a worker; throws the {@link ErrorKind#OVERLOADED} failure when the queue is full. */
+    @Override
+    public void execute(Runnable task) {
+        try {
+            executor.execute(task);
+        } catch (RejectedExecutionException e) {
+            throw refusal();
+        }
+    }
+
+    /** How many tasks wait for a worker. */
+    public int queued() {
+        return executor.getQueue().size();
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        executor.prestartAllCoreThreads();
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        executor.shutdown();
+        return CompletableFuture.completedFuture(null);
+    }
+
+    private CallFailure refusal() {
+        return CallFailure.of(ErrorKind.OVERLOADED, "worker pool " + name + " has no room")
+                .withRetryAfter(Duration.ofSeconds(1));
+    }
+}
