Follow and append to the log: LogFollower, BatchingAppender and a log in memory with faults

Cause: every part that keeps something in the platform's log needs the same reading (offset resume, backoff, gaps, repeats, restarts, trimmed ranges) and the same writing (batches, bounds, lost answers). Ruled out: a thread per stream (350 daemons on small instances; a waiting thread each), and blind re-append after a lost answer (runs a claim twice).

--- /dev/null
+++ b/standins/src/test/java/coriandersill/standins/platform/BatchingAppenderTest.java
@@ -0,0 +1,126 @@
+package coriandersill.standins.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.ManualClock;
+import coriandersill.core.Ran;
+import coriandersill.platform.AppendMode;
+import coriandersill.platform.BatchingAppender;
+import coriandersill.platform.ManualScheduler;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** C2, O6: batches, bounded queues, lost answers and outages of the log, in virtual time. */
+final class BatchingAppenderTest {
+    private static final String STREAM = "s";
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final ManualScheduler scheduler = ManualScheduler.of(clock);
+    private final InMemoryLog log = InMemoryLog.of(clock, scheduler);
+    private final BatchingAppender appender = BatchingAppender.builder(log, STREAM, scheduler)
+            .clock(clock)
+            .random(new Random(11))
+            .maxBatch(3)
+            .capacity(5, 50)
+            .build();
+
+    @Test
+    void recordsOfOneIntervalShareAnAppendAndEachGetsItsOffset() {
+        CompletableFuture<Long> first = append(AppendMode.AT_MOST_ONCE);
+        CompletableFuture<Long> second = append(AppendMode.AT_MOST_ONCE);
+        scheduler.advance(Duration.ofMillis(2));
+        assertThat(List.of(first.join(), second.join()), contains(0L, 1L));
+        assertThat(log.appends(), is(1L));
+    }
+
+    @Test
+    void oneAppendIsUnderWayAtATimeAndAFullBatchIsSentAtOnce() {
+        log.faults().slow(Duration.ofMillis(100));
+        List<CompletableFuture<Long>> all = appendFive();
+        assertThat(log.appends(), is(1L));
+        scheduler.advance(Duration.ofMillis(100));
+        assertThat(log.appends(), is(2L));
+        scheduler.advance(Duration.ofMillis(100));
+        assertThat(all.stream().map(CompletableFuture::join).toList(), contains(0L, 1L, 2L, 3L, 4L));
+    }
+
+    @Test
+    void aRecordThatFindsTheQueueFullByCountOrBytesIsRefusedAsNotRun() {
+        log.faults().slow(Duration.ofSeconds(1));
+        List<CompletableFuture<Long>> fitting = appendFive();
+        assertFailed(append(AppendMode.AT_MOST_ONCE), Ran.NO);
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(fitting.get(4).join(), is(4L));
+        assertThat(appender.pending(), is(0));
+        assertFailed(appender.append(new byte[51], AppendMode.AT_MOST_ONCE), Ran.NO);
+    }
+
+    @Test
+    void aLostAnswerIsUnknownAndTheRecordIsNotAppendedAgain() {
+        log.faults().loseAnswers(1);
+        CompletableFuture<Long> record = append(AppendMode.AT_MOST_ONCE);
+        scheduler.advance(Duration.ofSeconds(10));
+        assertFailed(record, Ran.UNKNOWN);
+        assertThat(log.readNow(STREAM, 0, 10).join().end(), is(1L));
+    }
+
+    @Test
+    void anIdempotentRecordIsAppendedAgainAfterALostAnswer() {
+        log.faults().loseAnswers(1);
+        CompletableFuture<Long> record = append(AppendMode.AT_LEAST_ONCE);
+        scheduler.advance(Duration.ofSeconds(1));
+        assertThat(record.join(), is(1L));
+    }
+
+    @Test
+    void inAnOutageEveryQueuedRecordThatGoesOnceIsRefusedAsNotRun() {
+        log.faults().slow(Duration.ofMillis(100));
+        log.faults().down(true);
+        List<CompletableFuture<Long>> all = appendFive();
+        scheduler.advance(Duration.ofMillis(100));
+        all.forEach(record -> assertFailed(record, Ran.NO));
+        assertThat(log.appends(), is(1L));
+    }
+
+    @Test
+    void anIdempotentRecordWaitsOutAShortOutageAndGivesUpInALongOne() {
+        log.faults().down(true);
+        CompletableFuture<Long> early = append(AppendMode.AT_LEAST_ONCE);
+        scheduler.advance(Duration.ofSeconds(2));
+        log.faults().down(false);
+        scheduler.advance(Duration.ofSeconds(2));
+        assertThat(early.join(), is(0L));
+        log.faults().loseAnswers(1);
+        CompletableFuture<Long> late = append(AppendMode.AT_LEAST_ONCE);
+        scheduler.advance(Duration.ofMillis(2));
+        log.faults().down(true);
+        scheduler.advance(Duration.ofSeconds(10));
+        assertFailed(late, Ran.UNKNOWN);
+    }
+
+    private List<CompletableFuture<Long>> appendFive() {
+        return Stream.generate(() -> append(AppendMode.AT_MOST_ONCE)).limit(5).toList();
+    }
+
+    private CompletableFuture<Long> append(AppendMode mode) {
+        return appender.append(new byte[8], mode);
+    }
+
+    private static void assertFailed(CompletableFuture<Long> record, Ran ran) {
+        assertThat(record.isDone(), is(true));
+        CallFailure failure = CallFailure.from(Assertions.assertThrows(CompletionException.class, record::join));
+        assertThat(failure.kind(), is(ErrorKind.LOG_UNAVAILABLE));
+        assertThat(failure.ran(), is(ran));
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/coriandersill/standins/platform/LogFollowerTest.java
@@ -0,0 +1,132 @@
+package coriandersill.standins.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.core.ManualClock;
+import coriandersill.platform.LogFollower;
+import coriandersill.platform.LogNotice;
+import coriandersill.platform.ManualScheduler;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** C9, C12: offsets with gaps, repeats and restarts, trimmed ranges and a log that is down, in virtual time. */
+final class LogFollowerTest {
+    private static final String STREAM = "s";
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final ManualScheduler scheduler = ManualScheduler.of(clock);
+    private final InMemoryLog log = InMemoryLog.of(clock, scheduler);
+    private final List<String> seen = new ArrayList<>();
+    private final List<LogNotice> notices = new ArrayList<>();
+    private final LogFollower follower = LogFollower.builder(log, STREAM, scheduler)
+            .handler(record -> seen.add(record.offset() + new String(record.data(), StandardCharsets.UTF_8)))
+            .notices(notices::add)
+            .random(new Random(7))
+            .clock(clock)
+            .pageLimit(2)
+            .build();
+
+    @Test
+    void recordsComeInOrderAcrossPagesAndWhileFollowing() {
+        append("a", "b", "c");
+        assertThat(follower.start().isDone(), is(true));
+        append("d");
+        assertThat(seen, contains("0a", "1b", "2c", "3d"));
+        assertThat(follower.caughtUpTo(), is(3L));
+        assertThat(follower.caughtUp().isDone(), is(true));
+        assertThat(notices, is(empty()));
+    }
+
+    @Test
+    void aGapIsToldAndTheRecordsAfterItAreStillHandedOver() {
+        assertThat(follower.start().isDone(), is(true));
+        append("a");
+        log.faults().skipOffsets(STREAM, 3);
+        append("b");
+        assertThat(seen, contains("0a", "4b"));
+        assertThat(notices, contains(new LogNotice.Gap(1, 4)));
+    }
+
+    @Test
+    void aRepeatedRecordIsToldAndNotHandedOverAgain() {
+        append("a", "b");
+        log.faults().repeatRecords(1);
+        assertThat(follower.start().isDone(), is(true));
+        append("c");
+        assertThat(seen, contains("0a", "1b", "2c"));
+        assertThat(notices, contains(new LogNotice.Repeated(1)));
+    }
+
+    @Test
+    void aRestartOfTheOffsetsIsToldAndTheNewRecordsAreRead() {
+        append("a", "b");
+        assertThat(follower.start().isDone(), is(true));
+        log.faults().restart(STREAM);
+        append("c");
+        assertThat(seen, contains("0a", "1b", "0c"));
+        assertThat(notices, contains(new LogNotice.Restarted(2, 0)));
+    }
+
+    @Test
+    void aTrimmedRangeIsToldAndReadingGoesOnAtTheOldestRecord() {
+        append("a", "b", "c");
+        log.faults().trim(STREAM, 2);
+        assertThat(follower.start().isDone(), is(true));
+        assertThat(seen, contains("2c"));
+        assertThat(notices, contains(new LogNotice.Trimmed(0, 2)));
+    }
+
+    @Test
+    void anOutageIsToldOnceAndReadingResumesAtTheSameOffsetWithFewReads() {
+        assertThat(follower.start().isDone(), is(true));
+        append("a");
+        log.faults().down(true);
+        scheduler.advance(Duration.ofSeconds(60));
+        assertThat(follower.lag().sinceAnswer(), greaterThan(Duration.ofSeconds(59)));
+        long readsWhileDown = log.reads();
+        log.faults().down(false);
+        append("b");
+        scheduler.advance(Duration.ofSeconds(6));
+        assertThat(seen, contains("0a", "1b"));
+        assertThat(notices.get(0), instanceOf(LogNotice.Unavailable.class));
+        assertThat(notices.get(1), is(new LogNotice.Available()));
+        assertThat(notices.size(), is(2));
+        assertThat("reads in 60 s of outage", readsWhileDown < 40, is(true));
+    }
+
+    @Test
+    void aHandlerThatThrowsIsToldAndDoesNotStopTheFollower() {
+        LogFollower faulty = LogFollower.builder(log, STREAM, scheduler)
+                .handler(record -> {
+                    if (record.offset() == 0) {
+                        throw new IllegalStateException("broken");
+                    }
+                    seen.add("ok" + record.offset());
+                })
+                .notices(notices::add)
+                .build();
+        append("a", "b");
+        assertThat(faulty.start().isDone(), is(true));
+        assertThat(seen, contains("ok1"));
+        assertThat(notices.get(0), instanceOf(LogNotice.HandlerFailed.class));
+    }
+
+    private void append(String... values) {
+        CompletableFuture<Long> unused = log.append(
+                STREAM,
+                List.of(values).stream()
+                        .map(value -> value.getBytes(StandardCharsets.UTF_8))
+                        .toList());
+    }
+}
