Decide change sets by a pure fold over the configuration stream

Cause: every process must reach the same verdict on each change set, keep its accepted state over trimmed, repeated and restarted streams, and never revert.

--- /dev/null
+++ b/configuration/src/main/java/coriandersill/configuration/ChangeJudge.java
@@ -0,0 +1,136 @@
+package coriandersill.configuration;
+
+import coriandersill.configuration.Verdict.DocumentConflict;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Decides about one record whose state before it is known. */
+final class ChangeJudge {
+    private static final int MAX_PROBLEMS = 20;
+
+    private final ConfigurationValidator validator;
+
+    ChangeJudge(ConfigurationValidator validator) {
+        this.validator = validator;
+    }
+
+    /** The state after a record, the verdict, and the history entry of a change set that was not decided before. */
+    record Step(AcceptedState state, Verdict verdict, Optional<HistoryEntry> entry) {}
+
+    Step step(AcceptedState state, long position, ConfigurationRecord record) {
+        if (record instanceof ChangeSet change) {
+            return change(state, position, change);
+        }
+        if (record instanceof ConfigurationRecord.Malformed malformed) {
+            return malformed(state, position, malformed);
+        }
+        String reason = record instanceof ConfigurationRecord.Unknown unknown
+                ? "type \"" + unknown.type() + "\" is unknown"
+                : "the snapshot is not newer than the accepted state";
+        return new Step(state.at(position), new Verdict.Ignored(reason), Optional.empty());
+    }
+
+    private Step change(AcceptedState state, long position, ChangeSet change) {
+        Optional<HistoryEntry> first = state.decided(change.id());
+        if (first.isPresent()) {
+            Verdict verdict =
+                    new Verdict.Duplicate(first.get().position(), first.get().verdict());
+            return new Step(state.at(position), verdict, Optional.empty());
+        }
+        Verdict verdict = verdict(state, position, change);
+        HistoryEntry entry = new HistoryEntry(
+                position,
+                change.id(),
+                change.author(),
+                change.reason(),
+                change.time(),
+                change.edits().stream().map(DocumentEdit::name).toList(),
+                verdict);
+        return new Step(state.after(entry, change.edits()), verdict, Optional.of(entry));
+    }
+
+    private Step malformed(AcceptedState state, long position, ConfigurationRecord.Malformed record) {
+        Verdict verdict = new Verdict.Invalid(record.problems());
+        if (record.changeId().isEmpty() || state.decided(record.changeId()).isPresent()) {
+            return new Step(state.at(position), verdict, Optional.empty());
+        }
+        HistoryEntry entry =
+                new HistoryEntry(position, record.changeId(), record.author(), "", Instant.EPOCH, List.of(), verdict);
+        return new Step(state.after(entry, List.of()), verdict, Optional.of(entry));
+    }
+
+    private Verdict verdict(AcceptedState state, long position, ChangeSet change) {
+        if (change.basedOn() < state.historyFloor()) {
+            return new Verdict.Stale(change.basedOn(), state.historyFloor());
+        }
+        List<Problem> problems = shapeProblems(change);
+        if (!problems.isEmpty()) {
+            return invalid(problems);
+        }
+        List<DocumentConflict> conflicts = change.edits().stream()
+                .filter(edit -> edit.baseVersion() != state.version(edit.name()))
+                .map(edit -> conflict(state, edit))
+                .toList();
+        if (!conflicts.isEmpty()) {
+            return new Verdict.Conflict(conflicts);
+        }
+        Set<DocumentName> changed =
+                change.edits().stream().map(DocumentEdit::name).collect(Collectors.toSet());
+        problems = validator.check(candidate(state, position, change), changed);
+        return problems.isEmpty() ? new Verdict.Accepted(position) : invalid(problems);
+    }
+
+    private static Verdict invalid(List<Problem> problems) {
+        return new Verdict.Invalid(problems.subList(0, Math.min(MAX_PROBLEMS, problems.size())));
+    }
+
+    private static AcceptedState candidate(AcceptedState state, long position, ChangeSet change) {
+        HistoryEntry entry = new HistoryEntry(
+                position,
+                change.id(),
+                change.author(),
+                change.reason(),
+                change.time(),
+                List.of(),
+                new Verdict.Accepted(position));
+        return state.after(entry, change.edits());
+    }
+
+    private static List<Problem> shapeProblems(ChangeSet change) {
+        List<Problem> problems = new ArrayList<>();
+        if (change.edits().isEmpty()) {
+            problems.add(new Problem("change", "edits", "one edit or more", "none"));
+        }
+        Set<DocumentName> names = new HashSet<>();
+        for (DocumentEdit edit : change.edits()) {
+            if (!names.add(edit.name())) {
+                problems.add(Problem.of(edit.name(), "", "one edit of each document", "several"));
+            }
+            edit.content()
+                    .map(Document::documentName)
+                    .filter(name -> !name.equals(edit.name()))
+                    .ifPresent(name -> problems.add(Problem.of(
+                            edit.name(), "name", "\"" + edit.name().name() + "\"", "\"" + name.name() + "\"")));
+        }
+        return problems;
+    }
+
+    private static DocumentConflict conflict(AcceptedState state, DocumentEdit edit) {
+        VersionedDocument current = state.documents().get(edit.name());
+        if (current != null) {
+            return new DocumentConflict(edit.name(), edit.baseVersion(), current.version(), current.author());
+        }
+        String author = "";
+        for (HistoryEntry entry : state.history()) {
+            if (entry.accepted() && entry.documents().contains(edit.name())) {
+                author = entry.author();
+            }
+        }
+        return new DocumentConflict(edit.name(), edit.baseVersion(), StreamPosition.NONE, author);
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/coriandersill/configuration/ConfigurationFold.java
@@ -0,0 +1,159 @@
+package coriandersill.configuration;
+
+import coriandersill.configuration.ConfigurationState.Held;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Decides which change sets are accepted: a pure function over the records of the configuration stream in log order.
+ *
+ * <pre>{@code
+ * ConfigurationFold fold = ConfigurationFold.of(StandardRule.all());
+ * ConfigurationFold.Result result = fold.fold(state, record.offset(), decoded);
+ * state = result.state();
+ * }</pre>
+ *
+ * <p>A process that has read every record from the beginning, or that began from a snapshot or a peer's state, reaches
+ * the same verdict on each change set. A record after a gap is held undecided until a snapshot or a peer gives the
+ * state before it. Versions are compared at the moment of reading: a snapshot that is not newer than the accepted state
+ * changes nothing, however late it is appended.
+ */
+public final class ConfigurationFold {
+    /** The version of the document rules that this fold knows; a change set for a later one is held undecided. */
+    public static final int SCHEMA = 1;
+
+    /** The most records that are held undecided; the oldest are dropped, and only a snapshot or a peer helps then. */
+    static final int HELD_LIMIT = 4096;
+
+    private final ChangeJudge judge;
+    private final SnapshotAssembler snapshots = new SnapshotAssembler();
+
+    private ConfigurationFold(ConfigurationValidator validator) {
+        this.judge = new ChangeJudge(validator);
+    }
+
+    /** Returns a fold that refuses change sets in which {@code validator} finds problems; null is refused. */
+    public static ConfigurationFold of(ConfigurationValidator validator) {
+        return new ConfigurationFold(Objects.requireNonNull(validator, "validator"));
+    }
+
+    /**
+     * The outcome of one step.
+     *
+     * @param state the state after it
+     * @param verdict the verdict on the record
+     * @param decided the change sets that the step decided, held ones included, in order
+     */
+    public record Result(ConfigurationState state, Verdict verdict, List<HistoryEntry> decided) {
+
+        /** Copies the list. */
+        public Result {
+            decided = List.copyOf(decided);
+        }
+    }
+
+    /** Takes the record at {@code offset}. */
+    public Result fold(ConfigurationState state, long offset, ConfigurationRecord record) {
+        if (record instanceof SnapshotChunk chunk && snapshots.useful(state, chunk)) {
+            return foldUsefulChunk(state, offset, chunk);
+        }
+        return foldInOrder(state, offset, record);
+    }
+
+    /** Takes a peer's state; it changes nothing unless its position is later than the own one. */
+    public Result importPeer(ConfigurationState state, PeerState peer) {
+        Optional<AcceptedState> reached =
+                peer.appliedTo(state.accepted(), state.proof().proven());
+        if (reached.isEmpty()) {
+            return new Result(
+                    state, new Verdict.Ignored("the peer's state is not newer or does not connect"), List.of());
+        }
+        return adopt(state, reached.get(), Proof.PEER);
+    }
+
+    private Result foldUsefulChunk(ConfigurationState state, long offset, SnapshotChunk chunk) {
+        ConfigurationState collected = snapshots.collect(state, chunk);
+        Optional<AcceptedState> complete = snapshots.complete(collected, chunk);
+        if (complete.isEmpty()) {
+            return foldInOrder(collected, offset, chunk);
+        }
+        AcceptedState snapshot = complete.get();
+        ConfigurationState cleared = snapshots.forget(collected, chunk);
+        if (chunk.epoch() > StreamPosition.epoch(snapshot.position())) {
+            return adopt(cleared, snapshot.at(StreamPosition.of(chunk.epoch(), offset)), Proof.SNAPSHOT);
+        }
+        ConfigurationState withChunk = cleared;
+        if (StreamPosition.epoch(state.position()) == chunk.epoch()) {
+            withChunk = foldInOrder(cleared, offset, chunk).state();
+        }
+        return adopt(withChunk, snapshot, Proof.SNAPSHOT);
+    }
+
+    private Result foldInOrder(ConfigurationState state, long offset, ConfigurationRecord record) {
+        long position = StreamPosition.of(StreamPosition.epoch(state.position()), offset);
+        if (position <= state.position()) {
+            return new Result(state, new Verdict.Ignored("offset " + offset + " is part of the state"), List.of());
+        }
+        boolean next = position == state.position() + 1 && state.held().isEmpty();
+        if (!next || newerSchema(record)) {
+            return hold(state, offset, record);
+        }
+        ChangeJudge.Step step = judge.step(state.accepted(), position, record);
+        Proof proof = state.proof().proven() ? state.proof() : Proof.BEGINNING;
+        List<HistoryEntry> decided = step.entry().map(List::of).orElse(List.of());
+        return new Result(state.withAccepted(proof, step.state()), step.verdict(), decided);
+    }
+
+    private static Result hold(ConfigurationState state, long offset, ConfigurationRecord record) {
+        List<Held> held = new ArrayList<>(state.held());
+        if (!held.isEmpty() && held.get(held.size() - 1).offset() >= offset) {
+            return new Result(state, new Verdict.Ignored("offset " + offset + " is held already"), List.of());
+        }
+        boolean snapshot = record instanceof SnapshotChunk;
+        held.add(new Held(offset, snapshot ? new ConfigurationRecord.Unknown("snapshot") : record));
+        if (held.size() > HELD_LIMIT) {
+            held.remove(0);
+        }
+        String reason = newerSchema(record) ? "its schema is newer" : "records before it were not seen";
+        return new Result(state.withHeld(held), new Verdict.Undecided(state.position(), reason), List.of());
+    }
+
+    private Result adopt(ConfigurationState state, AcceptedState reached, Proof proof) {
+        long epoch = StreamPosition.epoch(reached.position());
+        boolean sameEpoch = epoch == StreamPosition.epoch(state.position());
+        List<HistoryEntry> decided = new ArrayList<>(newEntries(state.accepted(), reached));
+        AcceptedState accepted = reached;
+        int used = 0;
+        List<Held> held = sameEpoch ? state.held() : List.of();
+        while (used < held.size()) {
+            Held next = held.get(used);
+            long position = StreamPosition.of(epoch, next.offset());
+            if (position > accepted.position()) {
+                if (position != accepted.position() + 1 || newerSchema(next.record())) {
+                    break;
+                }
+                ChangeJudge.Step step = judge.step(accepted, position, next.record());
+                accepted = step.state();
+                step.entry().ifPresent(decided::add);
+            }
+            used++;
+        }
+        List<Held> left = held.subList(used, held.size());
+        boolean whole = proof == Proof.PEER || left.isEmpty();
+        Proof reachedProof = state.proof().proven() || !whole ? state.proof() : proof;
+        ConfigurationState after = state.withAccepted(reachedProof, accepted).withHeld(left);
+        return new Result(after, new Verdict.Adopted(state.position(), accepted.position()), decided);
+    }
+
+    private static List<HistoryEntry> newEntries(AcceptedState before, AcceptedState after) {
+        return after.history().stream()
+                .filter(entry -> entry.position() > before.position())
+                .toList();
+    }
+
+    private static boolean newerSchema(ConfigurationRecord record) {
+        return record instanceof ChangeSet change && change.schema() > SCHEMA;
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/coriandersill/configuration/ConfigurationState.java
@@ -0,0 +1,60 @@
+package coriandersill.configuration;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * What one process knows of the configuration stream, immutable.
+ *
+ * @param proof what shows that the accepted state is whole
+ * @param accepted the accepted state
+ * @param held records after a gap, in order of offset, that cannot be decided yet
+ * @param partial the parts seen of snapshots that are not complete, by snapshot id
+ */
+public record ConfigurationState(
+        Proof proof, AcceptedState accepted, List<Held> held, Map<String, List<SnapshotChunk>> partial) {
+
+    /** Copies the collections; refuses null. */
+    public ConfigurationState {
+        Objects.requireNonNull(proof, "proof");
+        Objects.requireNonNull(accepted, "accepted");
+        held = List.copyOf(held);
+        partial = Map.copyOf(partial);
+    }
+
+    /**
+     * A record that waits for the state before it.
+     *
+     * @param offset its offset
+     * @param record the record
+     */
+    public record Held(long offset, ConfigurationRecord record) {}
+
+    /** Returns the state of a process that has read nothing. */
+    public static ConfigurationState initial() {
+        return new ConfigurationState(Proof.NONE, AcceptedState.empty(), List.of(), Map.of());
+    }
+
+    /** The last position that is part of the accepted state. */
+    public long position() {
+        return accepted.position();
+    }
+
+    /** Returns what peers compare to learn who has seen more; -1 without proof. */
+    public StateDigest digest() {
+        return new StateDigest(proof.proven() ? position() : StreamPosition.NONE);
+    }
+
+    ConfigurationState withAccepted(Proof newProof, AcceptedState newAccepted) {
+        return new ConfigurationState(newProof, newAccepted, held, partial);
+    }
+
+    ConfigurationState withHeld(List<Held> newHeld) {
+        return new ConfigurationState(proof, accepted, newHeld, partial);
+    }
+
+    ConfigurationState withPartial(Map<String, List<SnapshotChunk>> newPartial) {
+        return new ConfigurationState(proof, accepted, held, newPartial);
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/coriandersill/configuration/DocumentEdit.java
@@ -0,0 +1,30 @@
+package coriandersill.configuration;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The new content of one document, or its deletion.
+ *
+ * @param name the document
+ * @param baseVersion the position at which the document was last changed when the edit was made; -1 for a new one
+ * @param content the new content; empty to delete the document
+ */
+public record DocumentEdit(DocumentName name, long baseVersion, Optional<Document> content) {
+
+    /** Refuses null. */
+    public DocumentEdit {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(content, "content");
+    }
+
+    /** Returns an edit that gives a document new content. */
+    public static DocumentEdit put(Document content, long baseVersion) {
+        return new DocumentEdit(content.documentName(), baseVersion, Optional.of(content));
+    }
+
+    /** Returns an edit that deletes a document. */
+    public static DocumentEdit delete(DocumentName name, long baseVersion) {
+        return new DocumentEdit(name, baseVersion, Optional.empty());
+    }
+}
