--- /dev/null
+++ b/configuration/src/test/java/coriandersill/configuration/ConfigurationFoldTest.java
@@ -0,0 +1,247 @@
+package coriandersill.configuration;
+
+import static coriandersill.configuration.TestDocuments.change;
+import static coriandersill.configuration.TestDocuments.service;
+import static coriandersill.configuration.TestDocuments.workspace;
+import static coriandersill.configuration.TestDocuments.zone;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.configuration.Verdict.DocumentConflict;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** C1 to C9 for one process: the verdict on each kind of record. */
+final class ConfigurationFoldTest {
+    private static final DocumentName SHEWA_A = zone("shewa-a", true).documentName();
+    private static final ConfigurationFold FOLD = ConfigurationFold.of(StandardRule.all());
+
+    private ConfigurationState state = ConfigurationState.initial();
+
+    @Test
+    void ofTwoChangesOnTheSameBaseTheFirstInTheLogWinsAndTheOtherHearsWhatChanged() { // C1
+        fold(0, change("a", -1, DocumentEdit.put(zone("shewa-a", true), -1)));
+        assertThat(fold(1, change("b", 0, DocumentEdit.put(zone("shewa-a", true), 0))), is(new Verdict.Accepted(1)));
+        assertThat(
+                fold(
+                        2,
+                        change(
+                                "c",
+                                0,
+                                DocumentEdit.put(zone("shewa-a", true), 0),
+                                DocumentEdit.put(zone("z", true), -1))),
+                is(new Verdict.Conflict(List.of(new DocumentConflict(SHEWA_A, 0, 1, "author-b")))));
+        assertThat(
+                "nothing of a refused change is applied",
+                state.accepted().documents().size(),
+                is(1));
+    }
+
+    @Test
+    void aConflictWithADeletionNamesWhoDeleted() { // C1
+        fold(0, change("a", -1, DocumentEdit.put(zone("shewa-a", true), -1), DocumentEdit.put(zone("b", true), -1)));
+        fold(1, change("b", 0, DocumentEdit.delete(SHEWA_A, 0)));
+        assertThat(
+                fold(2, change("c", 0, DocumentEdit.put(zone("shewa-a", true), 0))),
+                is(new Verdict.Conflict(List.of(new DocumentConflict(SHEWA_A, 0, -1, "author-b")))));
+    }
+
+    @Test
+    void aChangeThatIsAppendedTwiceIsAppliedOnceAndKeepsItsFirstVerdict() { // C2
+        ChangeSet put =
+                change("a", -1, DocumentEdit.put(zone("shewa-a", true), -1), DocumentEdit.put(zone("b", true), -1));
+        fold(0, put);
+        fold(1, change("b", 0, DocumentEdit.delete(SHEWA_A, 0)));
+        assertThat(fold(2, put), is(new Verdict.Duplicate(0, new Verdict.Accepted(0))));
+        assertThat(state.accepted().version(SHEWA_A), is(-1L));
+    }
+
+    @Test
+    void aChangeOlderThanTheRememberedHistoryIsRefusedBecauseItMayBeARepeat() { // C2
+        ChangeSet put = change("a", -1, DocumentEdit.put(zone("shewa-a", true), -1));
+        fold(0, put);
+        fold(1, change("b", 0, DocumentEdit.delete(SHEWA_A, 0)));
+        for (int i = 2; i < AcceptedState.HISTORY_LIMIT + 2; i++) {
+            fold(i, change("c" + i, i - 1, DocumentEdit.put(zone("z", true), i == 2 ? -1 : i - 1)));
+        }
+        assertThat(fold(AcceptedState.HISTORY_LIMIT + 2, put), is(new Verdict.Stale(-1, 1)));
+    }
+
+    @Test
+    void aChangeWithOneWrongDocumentIsRefusedWholeWithEveryProblem() { // C7
+        fold(0, change("a", -1, DocumentEdit.put(service("scribe", "v1"), -1)));
+        Verdict verdict = fold(
+                1,
+                change(
+                        "b",
+                        0,
+                        DocumentEdit.put(service("scribe", "v9"), 0),
+                        DocumentEdit.put(workspace("north", "press", "k1"), -1),
+                        DocumentEdit.put(workspace("south", "scribe", "k1"), -1),
+                        DocumentEdit.put(zone("shewa-a", false), -1),
+                        DocumentEdit.put(TestDocuments.rollout("scribe", "v1", "v1"), -1)));
+        assertThat(
+                ((Verdict.Invalid) verdict)
+                        .problems().stream().map(Problem::toString).toList(),
+                contains(
+                        "workspaces/north.json: services: expected declared services, found \"press\"",
+                        "services/scribe.json: current: expected one of [v1, v2], found \"v9\"",
+                        "rollouts/scribe.json: to: expected another version than from, found \"v1\"",
+                        "workspaces/south.json: keys: expected ids used once, found \"k1\", also in workspaces/north",
+                        "zones/shewa-a.json: inService: expected one availability zone in service, found none"));
+        assertThat(state.accepted().version(service("scribe", "v1").documentName()), is(0L));
+        assertThat(state.accepted().documents().size(), is(1));
+    }
+
+    @Test
+    void aServiceThatAWorkspaceOrARolloutUsesIsNotDeleted() { // C7
+        fold(0, change("a", -1, DocumentEdit.put(service("scribe", "v1"), -1)));
+        fold(1, change("b", 0, DocumentEdit.put(workspace("north", "scribe"), -1)));
+        fold(2, change("c", 1, DocumentEdit.put(TestDocuments.rollout("scribe", "v1", "v2"), -1)));
+        Verdict verdict = fold(
+                3, change("d", 2, DocumentEdit.delete(service("scribe", "v1").documentName(), 0)));
+        assertThat(((Verdict.Invalid) verdict).problems().size(), is(2));
+    }
+
+    @Test
+    void aNewcomerHoldsChangesUndecidedUntilASnapshotGivesTheirBase() { // C3, C6
+        ConfigurationState full = history(10);
+        List<SnapshotChunk> snapshot = SnapshotChunk.of("s", full.accepted(), 3);
+        assertThat(fold(9, edit(9)), instanceOf(Verdict.Undecided.class));
+        assertThat(fold(10, edit(10)), instanceOf(Verdict.Undecided.class));
+        assertThat(state.proof().proven(), is(false));
+        for (int i = 0; i < snapshot.size() - 1; i++) {
+            assertThat(fold(11 + i, snapshot.get(i)), instanceOf(Verdict.Undecided.class));
+        }
+        long last = 10L + snapshot.size();
+        assertThat(fold(last, snapshot.get(snapshot.size() - 1)), is(new Verdict.Adopted(-1, last)));
+        assertThat(state.proof(), is(Proof.SNAPSHOT));
+        assertThat(state.accepted().documents().get(SHEWA_A).version(), is(10L));
+        assertThat("the history came along", state.accepted().history().size(), is(11));
+    }
+
+    @Test
+    void aNewcomerThatMeetsASnapshotFromBeforeAGapStaysUnproven() { // C4, C6
+        List<SnapshotChunk> old = SnapshotChunk.of("s", history(3).accepted(), 100);
+        fold(9, edit(9));
+        fold(10, old.get(0));
+        fold(11, old.get(1));
+        assertThat(state.proof(), is(Proof.NONE));
+        assertThat(state.digest(), is(new StateDigest(-1)));
+    }
+
+    @Test
+    void anOldSnapshotThatIsAppendedLateRevertsNothing() { // C4
+        List<SnapshotChunk> old = SnapshotChunk.of("s", history(3).accepted(), 100);
+        state = history(10);
+        assertThat(fold(10, old.get(0)), instanceOf(Verdict.Ignored.class));
+        assertThat(fold(11, old.get(1)), instanceOf(Verdict.Ignored.class));
+        assertThat(state.accepted().version(SHEWA_A), is(9L));
+        assertThat("the stream goes on", fold(12, edit(12, 9)), is(new Verdict.Accepted(12)));
+    }
+
+    @Test
+    void anEstablishedProcessHoldsChangesAfterAGapAndCatchesUpFromAPeer() { // C8, C9
+        state = history(5);
+        assertThat(fold(9, edit(9)), instanceOf(Verdict.Undecided.class));
+        assertThat("it serves on", state.proof().proven(), is(true));
+        PeerState peer = PeerState.since(4, history(9).accepted());
+        assertThat(peer.accepted().history().size(), is(4));
+        importPeer(peer);
+        assertThat(state.accepted(), is(history(10).accepted()));
+        assertThat(state.held().isEmpty(), is(true));
+    }
+
+    @Test
+    void aPeersOlderStateOrADeltaThatDoesNotConnectChangesNothing() { // C5, C8
+        state = history(5);
+        assertThat(importPeer(PeerState.whole(history(4).accepted())), instanceOf(Verdict.Ignored.class));
+        assertThat(importPeer(PeerState.since(6, history(9).accepted())), instanceOf(Verdict.Ignored.class));
+        state = ConfigurationState.initial();
+        assertThat(importPeer(PeerState.since(3, history(9).accepted())), instanceOf(Verdict.Ignored.class));
+        assertThat(importPeer(PeerState.whole(history(9).accepted())), is(new Verdict.Adopted(-1, 8)));
+        assertThat(state.proof(), is(Proof.PEER));
+    }
+
+    @Test
+    void aDeltaTakesDeletionsAlong() { // C8
+        ConfigurationState before = history(3);
+        ConfigurationState after = FOLD.fold(
+                        before,
+                        3,
+                        change("d", 2, DocumentEdit.put(zone("b", true), -1), DocumentEdit.delete(SHEWA_A, 2)))
+                .state();
+        state = before;
+        importPeer(PeerState.since(2, after.accepted()));
+        assertThat(state.accepted(), is(after.accepted()));
+    }
+
+    @Test
+    void aRepeatedOffsetChangesNothing() { // C9
+        state = history(5);
+        ConfigurationState before = state;
+        assertThat(fold(3, edit(3)), instanceOf(Verdict.Ignored.class));
+        assertThat(state, is(before));
+    }
+
+    @Test
+    void afterARestartOfTheOffsetsChangesWaitForTheSnapshotOfTheNextEpochAndNothingReverts() { // C9
+        state = history(5);
+        List<SnapshotChunk> restart = SnapshotChunk.restarting("r", state.accepted(), 100);
+        assertThat(fold(0, edit(0, 4)), instanceOf(Verdict.Ignored.class));
+        fold(1, restart.get(0));
+        assertThat(fold(2, restart.get(1)), instanceOf(Verdict.Adopted.class));
+        assertThat(state.accepted().version(SHEWA_A), is(4L));
+        assertThat(state.position(), is(StreamPosition.of(1, 2)));
+        ChangeSet next = change("r3", 4, DocumentEdit.put(zone("shewa-a", true), 4));
+        assertThat(fold(3, next), is(new Verdict.Accepted(StreamPosition.of(1, 3))));
+        assertThat(
+                "a second process's restart is not newer", fold(4, restart.get(0)), instanceOf(Verdict.Ignored.class));
+    }
+
+    @Test
+    void recordsOfLaterVersionsAreSkippedOrHeldButNeverDecided() {
+        state = history(2);
+        assertThat(fold(2, new ConfigurationRecord.Unknown("hint")), instanceOf(Verdict.Ignored.class));
+        ChangeSet newer = new ChangeSet("n", "a", "r", TestDocuments.TIME, 2, 2, List.of());
+        assertThat(fold(3, newer), instanceOf(Verdict.Undecided.class));
+        assertThat(fold(4, edit(4, 1)), instanceOf(Verdict.Undecided.class));
+        Problem problem = new Problem("change", "edits", "a list", "7");
+        state = history(2);
+        assertThat(
+                fold(2, new ConfigurationRecord.Malformed("m", "x", List.of(problem))),
+                is(new Verdict.Invalid(List.of(problem))));
+    }
+
+    private Verdict fold(long offset, ConfigurationRecord record) {
+        ConfigurationFold.Result result = FOLD.fold(state, offset, record);
+        state = result.state();
+        return result.verdict();
+    }
+
+    private Verdict importPeer(PeerState peer) {
+        ConfigurationFold.Result result = FOLD.importPeer(state, peer);
+        state = result.state();
+        return result.verdict();
+    }
+
+    private static ConfigurationState history(int changes) {
+        return IntStream.range(0, changes)
+                .boxed()
+                .reduce(
+                        ConfigurationState.initial(),
+                        (before, i) -> FOLD.fold(before, i, edit(i)).state(),
+                        (a, b) -> b);
+    }
+
+    private static ChangeSet edit(int offset) {
+        return edit(offset, offset - 1L);
+    }
+
+    private static ChangeSet edit(int offset, long base) {
+        return change("c" + offset, base, DocumentEdit.put(zone("shewa-a", true), base));
+    }
+}
--- /dev/null
+++ b/configuration/src/test/java/coriandersill/configuration/SnapshotScheduleTest.java
@@ -0,0 +1,81 @@
+package coriandersill.configuration;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** C10: many processes with one schedule each, in virtual time. */
+final class SnapshotScheduleTest {
+    private static final SnapshotPolicy POLICY = new SnapshotPolicy(Duration.ofHours(6), 1000, Duration.ofMinutes(90));
+    private static final int PROCESSES = 350;
+
+    @Test
+    void of350ProcessesFewPublishInADayAndNeverLaterThanIntervalAndJitter() {
+        List<Instant> published = publications(true);
+        assertThat(published.size(), lessThanOrEqualTo(8));
+        Instant last = Instant.EPOCH;
+        for (Instant time : published) {
+            assertThat(Duration.between(last, time), lessThanOrEqualTo(Duration.ofMinutes(451)));
+            last = time;
+        }
+    }
+
+    @Test
+    void withoutSuppressionEveryProcessPublishes() {
+        assertThat(publications(false).size(), greaterThan(PROCESSES));
+    }
+
+    @Test
+    void aSnapshotWhosePublisherDiesIsTakenUpByAnother() {
+        Random random = new Random(5);
+        SnapshotSchedule schedule = SnapshotSchedule.starting(POLICY, Instant.EPOCH, random);
+        schedule = schedule.afterPart(Instant.EPOCH, random);
+        assertThat(schedule.isDue(Instant.EPOCH.plus(Duration.ofMinutes(89))), is(false));
+        assertThat(schedule.isDue(Instant.EPOCH.plus(Duration.ofMinutes(181))), is(true));
+    }
+
+    @Test
+    void manyChangesBringTheNextSnapshotForwardOnce() {
+        Random random = new Random(6);
+        SnapshotSchedule schedule =
+                SnapshotSchedule.starting(POLICY, Instant.EPOCH, random).afterSnapshot(Instant.EPOCH, random);
+        for (int i = 0; i < 999; i++) {
+            schedule = schedule.afterRecord(Instant.EPOCH, random);
+        }
+        assertThat(schedule.isDue(Instant.EPOCH.plus(POLICY.jitter())), is(false));
+        schedule = schedule.afterRecord(Instant.EPOCH, random).afterRecord(Instant.EPOCH.plusSeconds(1), random);
+        assertThat(schedule.isDue(Instant.EPOCH.plus(POLICY.jitter())), is(true));
+    }
+
+    private static List<Instant> publications(boolean suppressed) {
+        Random random = new Random(17);
+        List<SnapshotSchedule> schedules = new ArrayList<>();
+        for (int i = 0; i < PROCESSES; i++) {
+            schedules.add(
+                    SnapshotSchedule.starting(POLICY, Instant.EPOCH, random).afterSnapshot(Instant.EPOCH, random));
+        }
+        List<Instant> published = new ArrayList<>();
+        for (int second = 0; second < 86_400; second++) {
+            Instant now = Instant.EPOCH.plusSeconds(second);
+            for (int i = 0; i < PROCESSES; i++) {
+                if (schedules.get(i).isDue(now)) {
+                    published.add(now);
+                    if (suppressed) {
+                        schedules.replaceAll(schedule -> schedule.afterSnapshot(now, random));
+                    } else {
+                        schedules.set(i, schedules.get(i).afterSnapshot(now, random));
+                    }
+                }
+            }
+        }
+        return published;
+    }
+}
