--- /dev/null
+++ b/documents/src/main/java/coriandersill/documents/DocumentCodec.java
@@ -0,0 +1,207 @@
+package coriandersill.documents;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import coriandersill.configuration.ApiKeyHash;
+import coriandersill.configuration.Document;
+import coriandersill.configuration.DocumentName;
+import coriandersill.configuration.PlainRoute;
+import coriandersill.configuration.Problem;
+import coriandersill.configuration.RolloutDocument;
+import coriandersill.configuration.RolloutDocument.BadnessCriteria;
+import coriandersill.configuration.ServiceDocument;
+import coriandersill.configuration.ServiceKind;
+import coriandersill.configuration.VersionCapacity;
+import coriandersill.configuration.WorkspaceDocument;
+import coriandersill.configuration.ZoneDocument;
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.RouteName;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.core.WorkspaceName;
+import coriandersill.documents.internal.FieldReader;
+import coriandersill.documents.internal.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * Reads and writes configuration documents as JSON.
+ *
+ * <pre>{@code
+ * Decoded<Document> read = DocumentCodec.read(DocumentName.parse("zones/shewa-a"), bytes);
+ * read.problems().forEach(System.err::println);
+ * String canonical = DocumentCodec.write(document);
+ * }</pre>
+ *
+ * <p>A document's name is not part of its JSON; the file or record that holds it gives the name. Reading refuses
+ * unknown and repeated fields, wrong types and values out of range, and reports all of them.
+ */
+public final class DocumentCodec {
+    private static final int MAX_CONCURRENCY = 100_000;
+    private static final long MAX_TOKENS = 1_000_000_000_000L;
+    private static final double MAX_RATIO = 1_000;
+    private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}|\\*");
+    private static final Pattern PATH = Pattern.compile("/.{0,1000}");
+    private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
+    private static final Map<String, ServiceKind> SERVICE_KINDS =
+            new TreeMap<>(Map.of("generation", ServiceKind.GENERATION, "plain", ServiceKind.PLAIN));
+
+    private DocumentCodec() {}
+
+    /** Reads one document. */
+    public static Decoded<Document> read(DocumentName name, byte[] json) {
+        Json.Parsed parsed = Json.parse(name + ".json", json);
+        if (parsed.problem().isPresent()) {
+            return Decoded.failed(List.of(parsed.problem().get()));
+        }
+        return read(name, parsed.node());
+    }
+
+    /** Returns the document as indented JSON with its fields in a fixed order; equal documents give equal text. */
+    public static String write(Document document) {
+        return Json.pretty(toJson(document));
+    }
+
+    static Decoded<Document> read(DocumentName name, JsonNode node) {
+        List<Problem> problems = new ArrayList<>();
+        FieldReader fields = FieldReader.of(name + ".json", node, problems);
+        Document document = null;
+        try {
+            document = switch (name.kind()) {
+                case SERVICE -> service(name, fields);
+                case WORKSPACE -> workspace(name, fields);
+                case ZONE -> zone(name, fields);
+                case ROLLOUT -> rollout(name, fields);
+            };
+        } catch (IllegalArgumentException e) {
+            if (problems.isEmpty()) {
+                problems.add(Problem.of(name, "", "a valid document", e.getMessage()));
+            }
+        }
+        fields.end();
+        return problems.isEmpty() ? Decoded.of(document) : Decoded.failed(problems);
+    }
+
+    static ObjectNode toJson(Document document) {
+        ObjectNode node = Json.object();
+        if (document instanceof ServiceDocument service) {
+            write(service, node);
+        } else if (document instanceof WorkspaceDocument workspace) {
+            write(workspace, node);
+        } else if (document instanceof ZoneDocument zone) {
+            node.put("region", zone.region()).put("inService", zone.inService());
+        } else if (document instanceof RolloutDocument rollout) {
+            write(rollout, node);
+        }
+        return node;
+    }
+
+    private static ServiceDocument service(DocumentName name, FieldReader fields) {
+        ServiceKind kind = fields.word("kind", SERVICE_KINDS, ServiceKind.PLAIN);
+        VersionName current = VersionName.of(fields.name("current"));
+        Map<VersionName, VersionCapacity> versions =
+                fields.objectsByName("versions", DocumentCodec::capacity).entrySet().stream()
+                        .collect(Collectors.toMap(entry -> VersionName.of(entry.getKey()), Map.Entry::getValue));
+        List<PlainRoute> routes = fields.has("routes") ? fields.objects("routes", DocumentCodec::route) : List.of();
+        return new ServiceDocument(ServiceName.of(name.name()), kind, current, versions, routes);
+    }
+
+    private static VersionCapacity capacity(FieldReader fields) {
+        int cold = fields.smallInteger("coldConcurrency", 1, MAX_CONCURRENCY);
+        int max = fields.smallInteger("maxConcurrency", cold, MAX_CONCURRENCY);
+        long memory = fields.has("memoryTokens") ? fields.integer("memoryTokens", 0, MAX_TOKENS) : 0;
+        return new VersionCapacity(cold, max, memory);
+    }
+
+    private static PlainRoute route(FieldReader fields) {
+        RouteName name = RouteName.of(fields.name("name"));
+        String method = fields.text("method", METHOD, "an HTTP method in capitals or \"*\"", "*");
+        String prefix = fields.text("pathPrefix", PATH, "a path that begins with \"/\"", "/");
+        return new PlainRoute(name, method, prefix, fields.bool("repeatable"));
+    }
+
+    private static WorkspaceDocument workspace(DocumentName name, FieldReader fields) {
+        List<ApiKeyHash> keys =
+                fields.objects("keys", key -> new ApiKeyHash(key.name("id"), key.text("salt"), hash(key)));
+        return new WorkspaceDocument(
+                WorkspaceName.of(name.name()),
+                keys,
+                fields.names("services").stream().map(ServiceName::of).collect(Collectors.toSet()),
+                fields.decimal("weight", 0, 1_000_000),
+                fields.smallInteger("maxConcurrency", 1, MAX_CONCURRENCY),
+                fields.integer("tokensPerSecond", 1, MAX_TOKENS));
+    }
+
+    private static String hash(FieldReader key) {
+        return key.text("sha256", SHA256, "64 digits 0-9 and a-f", "");
+    }
+
+    private static ZoneDocument zone(DocumentName name, FieldReader fields) {
+        return new ZoneDocument(AvailabilityZone.of(name.name()), fields.name("region"), fields.bool("inService"));
+    }
+
+    private static RolloutDocument rollout(DocumentName name, FieldReader fields) {
+        VersionName from = VersionName.of(fields.name("from"));
+        VersionName to = VersionName.of(fields.name("to"));
+        FieldReader badness = fields.object("badness");
+        BadnessCriteria criteria = new BadnessCriteria(
+                badness.decimal("errorRatio", 1, MAX_RATIO),
+                badness.decimal("firstTokenRatio", 1, MAX_RATIO),
+                badness.decimal("betweenTokensRatio", 1, MAX_RATIO));
+        badness.end();
+        return new RolloutDocument(
+                ServiceName.of(name.name()),
+                from,
+                to,
+                fields.instant("deadline"),
+                fields.decimal("firstShare", 0, 1),
+                fields.duration("probation"),
+                criteria);
+    }
+
+    private static void write(ServiceDocument service, ObjectNode node) {
+        node.put("kind", service.kind() == ServiceKind.PLAIN ? "plain" : "generation");
+        node.put("current", service.current().value());
+        ObjectNode versions = node.putObject("versions");
+        new TreeMap<>(service.versions()).forEach((version, capacity) -> versions.putObject(version.value())
+                .put("coldConcurrency", capacity.coldConcurrency())
+                .put("maxConcurrency", capacity.maxConcurrency())
+                .put("memoryTokens", capacity.memoryTokens()));
+        ArrayNode routes = node.putArray("routes");
+        service.routes().forEach(route -> routes.addObject()
+                .put("name", route.name().value())
+                .put("method", route.method())
+                .put("pathPrefix", route.pathPrefix())
+                .put("repeatable", route.repeatable()));
+    }
+
+    private static void write(WorkspaceDocument workspace, ObjectNode node) {
+        ArrayNode keys = node.putArray("keys");
+        workspace.keys().forEach(key -> keys.addObject()
+                .put("id", key.id())
+                .put("salt", key.salt())
+                .put("sha256", key.sha256()));
+        ArrayNode services = node.putArray("services");
+        workspace.services().stream().sorted().forEach(service -> services.add(service.value()));
+        node.put("weight", workspace.weight());
+        node.put("maxConcurrency", workspace.maxConcurrency());
+        node.put("tokensPerSecond", workspace.tokensPerSecond());
+    }
+
+    private static void write(RolloutDocument rollout, ObjectNode node) {
+        node.put("from", rollout.from().value());
+        node.put("to", rollout.to().value());
+        node.put("deadline", rollout.deadline().toString());
+        node.put("firstShare", rollout.firstShare());
+        node.put("probation", rollout.probation().toString());
+        node.putObject("badness")
+                .put("errorRatio", rollout.badness().errorRatio())
+                .put("firstTokenRatio", rollout.badness().firstTokenRatio())
+                .put("betweenTokensRatio", rollout.badness().betweenTokensRatio());
+    }
+}
--- /dev/null
+++ b/documents/src/main/java/coriandersill/documents/HistoryCodec.java
@@ -0,0 +1,126 @@
+package coriandersill.documents;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import coriandersill.configuration.DocumentName;
+import coriandersill.configuration.HistoryEntry;
+import coriandersill.configuration.Problem;
+import coriandersill.configuration.Verdict;
+import coriandersill.configuration.Verdict.DocumentConflict;
+import coriandersill.documents.internal.FieldReader;
+import coriandersill.documents.internal.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Reads and writes decided change sets. */
+final class HistoryCodec {
+    private HistoryCodec() {}
+
+    static HistoryEntry read(FieldReader fields) {
+        return new HistoryEntry(
+                fields.integer("position", -1, Long.MAX_VALUE),
+                fields.text("id"),
+                fields.text("author"),
+                fields.text("reason"),
+                fields.instant("time"),
+                documentNames(fields, "documents"),
+                verdict(fields.object("verdict")));
+    }
+
+    static ObjectNode toJson(HistoryEntry entry) {
+        ObjectNode node = Json.object().put("position", entry.position()).put("id", entry.changeId());
+        node.put("author", entry.author()).put("reason", entry.reason());
+        node.put("time", entry.time().toString());
+        ArrayNode documents = node.putArray("documents");
+        entry.documents().forEach(name -> documents.add(name.toString()));
+        write(entry.verdict(), node.putObject("verdict"));
+        return node;
+    }
+
+    static Optional<DocumentName> documentName(FieldReader fields, String field) {
+        String text = fields.text(field);
+        try {
+            return Optional.of(DocumentName.parse(text));
+        } catch (IllegalArgumentException e) {
+            fields.problem(field, "a document's name", "\"" + text + "\"");
+            return Optional.empty();
+        }
+    }
+
+    static List<DocumentName> documentNames(FieldReader fields, String field) {
+        List<DocumentName> names = new ArrayList<>();
+        JsonNode array = fields.raw(field);
+        if (array == null || !array.isArray()) {
+            fields.problem(field, "a list of documents' names", String.valueOf(array));
+            return names;
+        }
+        for (JsonNode element : array) {
+            try {
+                names.add(DocumentName.parse(element.asText()));
+            } catch (IllegalArgumentException e) {
+                fields.problem(field, "documents' names", element.toString());
+            }
+        }
+        return names;
+    }
+
+    private static Verdict verdict(FieldReader fields) {
+        String kind = fields.text("kind");
+        Verdict verdict =
+                switch (kind) {
+                    case "accepted" -> new Verdict.Accepted(fields.integer("position", -1, Long.MAX_VALUE));
+                    case "conflict" -> new Verdict.Conflict(fields.objects("documents", HistoryCodec::conflict));
+                    case "stale" -> new Verdict.Stale(
+                            fields.integer("basedOn", -1, Long.MAX_VALUE),
+                            fields.integer("oldest", -1, Long.MAX_VALUE));
+                    case "invalid" -> new Verdict.Invalid(fields.objects(
+                            "problems",
+                            problem -> new Problem(
+                                    problem.text("document"),
+                                    problem.text("path"),
+                                    problem.text("expected"),
+                                    problem.text("found"))));
+                    default -> {
+                        fields.problem("kind", "a verdict", "\"" + kind + "\"");
+                        yield new Verdict.Ignored("unreadable verdict");
+                    }
+                };
+        fields.end();
+        return verdict;
+    }
+
+    private static DocumentConflict conflict(FieldReader fields) {
+        return new DocumentConflict(
+                documentName(fields, "document").orElse(null),
+                fields.integer("base", -1, Long.MAX_VALUE),
+                fields.integer("current", -1, Long.MAX_VALUE),
+                fields.text("author"));
+    }
+
+    private static void write(Verdict verdict, ObjectNode node) {
+        if (verdict instanceof Verdict.Accepted accepted) {
+            node.put("kind", "accepted").put("position", accepted.position());
+        } else if (verdict instanceof Verdict.Conflict conflict) {
+            ArrayNode documents = node.put("kind", "conflict").putArray("documents");
+            conflict.documents().forEach(document -> documents
+                    .addObject()
+                    .put("document", document.name().toString())
+                    .put("base", document.base())
+                    .put("current", document.current())
+                    .put("author", document.author()));
+        } else if (verdict instanceof Verdict.Stale stale) {
+            node.put("kind", "stale").put("basedOn", stale.basedOn()).put("oldest", stale.oldest());
+        } else if (verdict instanceof Verdict.Invalid invalid) {
+            ArrayNode problems = node.put("kind", "invalid").putArray("problems");
+            invalid.problems().forEach(problem -> problems.addObject()
+                    .put("document", problem.document())
+                    .put("path", problem.path())
+                    .put("expected", problem.expected())
+                    .put("found", problem.found()));
+        } else {
+            throw new IllegalArgumentException("verdict: expected one on a decided change set, found " + verdict);
+        }
+    }
+}
--- /dev/null
+++ b/documents/src/main/java/coriandersill/documents/RecordCodec.java
@@ -0,0 +1,220 @@
+package coriandersill.documents;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import coriandersill.configuration.AcceptedState;
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.ConfigurationFold;
+import coriandersill.configuration.ConfigurationRecord;
+import coriandersill.configuration.Document;
+import coriandersill.configuration.DocumentEdit;
+import coriandersill.configuration.DocumentName;
+import coriandersill.configuration.HistoryEntry;
+import coriandersill.configuration.PeerState;
+import coriandersill.configuration.Problem;
+import coriandersill.configuration.SnapshotChunk;
+import coriandersill.configuration.VersionedDocument;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.documents.internal.FieldReader;
+import coriandersill.documents.internal.Json;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Reads and writes the records of the configuration stream, and the states that peers exchange, as JSON.
+ *
+ * <pre>{@code
+ * byte[] data = RecordCodec.encode(change);
+ * ConfigurationRecord record = RecordCodec.decode(data);
+ * }</pre>
+ *
+ * <p>Reading a record never fails: one that cannot be read becomes a {@link ConfigurationRecord.Malformed}, one of a
+ * type that is not known a {@link ConfigurationRecord.Unknown}.
+ */
+public final class RecordCodec {
+    private static final String CHANGE = "change";
+    private static final String SNAPSHOT = "snapshot";
+
+    private RecordCodec() {}
+
+    /** Returns the record's bytes; only change sets and snapshot parts are written. */
+    public static byte[] encode(ConfigurationRecord record) {
+        if (record instanceof ChangeSet change) {
+            return Json.compact(toJson(change));
+        }
+        if (record instanceof SnapshotChunk chunk) {
+            return Json.compact(toJson(chunk));
+        }
+        throw new IllegalArgumentException("record: expected a change set or a snapshot part, found " + record);
+    }
+
+    /** Reads one record. */
+    public static ConfigurationRecord decode(byte[] data) {
+        Json.Parsed parsed = Json.parse(CHANGE, data);
+        if (parsed.problem().isPresent()) {
+            return new ConfigurationRecord.Malformed(
+                    "", "", List.of(parsed.problem().get()));
+        }
+        String type = parsed.node().path("type").asText("");
+        return switch (type) {
+            case CHANGE -> change(parsed.node());
+            case SNAPSHOT -> snapshot(parsed.node());
+            default -> new ConfigurationRecord.Unknown(type);
+        };
+    }
+
+    /** Returns the bytes of a peer's state. */
+    public static byte[] encode(PeerState peer) {
+        AcceptedState accepted = peer.accepted();
+        ObjectNode node = Json.object().put("since", peer.since()).put("position", accepted.position());
+        node.put("historyFloor", accepted.historyFloor());
+        writeDocuments(node.putArray("documents"), accepted.documents().values());
+        writeHistory(node.putArray("history"), accepted.history());
+        ArrayNode removed = node.putArray("removed");
+        peer.removed().forEach(name -> removed.add(name.toString()));
+        return Json.compact(node);
+    }
+
+    /** Reads a peer's state; throws a {@link CallFailure} of kind {@code INVALID_REQUEST} when it cannot. */
+    public static PeerState decodePeer(byte[] data) {
+        List<Problem> problems = new ArrayList<>();
+        Json.Parsed parsed = Json.parse("peer state", data);
+        parsed.problem().ifPresent(problems::add);
+        FieldReader fields = FieldReader.of("peer state", parsed.node(), problems);
+        long since = position(fields, "since");
+        long position = position(fields, "position");
+        long floor = position(fields, "historyFloor");
+        Map<DocumentName, VersionedDocument> documents = new HashMap<>();
+        readDocuments(fields, problems)
+                .forEach(found -> documents.put(found.document().documentName(), found));
+        List<HistoryEntry> history = fields.objects("history", HistoryCodec::read);
+        Set<DocumentName> removed = new HashSet<>(HistoryCodec.documentNames(fields, "removed"));
+        fields.end();
+        if (!problems.isEmpty()) {
+            throw CallFailure.of(ErrorKind.INVALID_REQUEST, "peer state: " + problems.get(0));
+        }
+        return new PeerState(since, new AcceptedState(position, documents, history, floor), removed);
+    }
+
+    private static ConfigurationRecord change(JsonNode node) {
+        List<Problem> problems = new ArrayList<>();
+        FieldReader fields = FieldReader.of(CHANGE, node, problems);
+        fields.text("type");
+        String id = fields.name("id");
+        String author = fields.text("author");
+        String reason = fields.text("reason");
+        var time = fields.instant("time");
+        int schema = fields.smallInteger("schema", 1, Integer.MAX_VALUE);
+        long basedOn = position(fields, "basedOn");
+        if (schema > ConfigurationFold.SCHEMA && problems.isEmpty()) {
+            return new ChangeSet(id, author, reason, time, schema, basedOn, List.of());
+        }
+        List<DocumentEdit> edits = fields.objects("edits", edit -> edit(edit, problems));
+        fields.end();
+        if (problems.isEmpty()) {
+            return new ChangeSet(id, author, reason, time, schema, basedOn, edits);
+        }
+        String readableId = node.path("id").isTextual() ? node.path("id").textValue() : "";
+        return new ConfigurationRecord.Malformed(readableId, author, problems);
+    }
+
+    private static DocumentEdit edit(FieldReader fields, List<Problem> problems) {
+        Optional<DocumentName> name = HistoryCodec.documentName(fields, "document");
+        long base = position(fields, "base");
+        JsonNode content = fields.raw("content");
+        if (name.isEmpty()) {
+            return null;
+        }
+        if (content == null || content.isNull()) {
+            return DocumentEdit.delete(name.get(), base);
+        }
+        Decoded<Document> decoded = DocumentCodec.read(name.get(), content);
+        problems.addAll(decoded.problems());
+        return new DocumentEdit(name.get(), base, decoded.value());
+    }
+
+    private static ConfigurationRecord snapshot(JsonNode node) {
+        List<Problem> problems = new ArrayList<>();
+        FieldReader fields = FieldReader.of(SNAPSHOT, node, problems);
+        fields.text("type");
+        String id = fields.name("id");
+        long epoch = fields.integer("epoch", 0, 1 << 20);
+        long asOf = position(fields, "asOf");
+        int count = fields.smallInteger("count", 1, 1 << 20);
+        int index = fields.smallInteger("index", 0, count - 1);
+        long floor = position(fields, "historyFloor");
+        List<VersionedDocument> documents = readDocuments(fields, problems);
+        List<HistoryEntry> history = fields.objects("history", HistoryCodec::read);
+        fields.end();
+        return problems.isEmpty()
+                ? new SnapshotChunk(id, epoch, asOf, index, count, documents, history, floor)
+                : new ConfigurationRecord.Unknown("snapshot with " + problems.get(0));
+    }
+
+    private static List<VersionedDocument> readDocuments(FieldReader fields, List<Problem> problems) {
+        List<VersionedDocument> all = new ArrayList<>();
+        List<Optional<VersionedDocument>> read = fields.objects("documents", document -> {
+            Optional<DocumentName> name = HistoryCodec.documentName(document, "document");
+            long version = position(document, "version");
+            String author = document.text("author");
+            JsonNode content = document.raw("content");
+            if (name.isEmpty()) {
+                return Optional.empty();
+            }
+            Decoded<Document> decoded = DocumentCodec.read(name.get(), content);
+            problems.addAll(decoded.problems());
+            return decoded.value().map(value -> new VersionedDocument(value, version, author));
+        });
+        read.forEach(found -> found.ifPresent(all::add));
+        return all;
+    }
+
+    private static long position(FieldReader fields, String field) {
+        return fields.integer(field, -1, Long.MAX_VALUE);
+    }
+
+    private static ObjectNode toJson(ChangeSet change) {
+        ObjectNode node = Json.object().put("type", CHANGE).put("id", change.id());
+        node.put("author", change.author()).put("reason", change.reason());
+        node.put("time", change.time().toString()).put("schema", change.schema());
+        node.put("basedOn", change.basedOn());
+        ArrayNode edits = node.putArray("edits");
+        for (DocumentEdit edit : change.edits()) {
+            ObjectNode one =
+                    edits.addObject().put("document", edit.name().toString()).put("base", edit.baseVersion());
+            edit.content().ifPresent(content -> one.set("content", DocumentCodec.toJson(content)));
+        }
+        return node;
+    }
+
+    private static ObjectNode toJson(SnapshotChunk chunk) {
+        ObjectNode node = Json.object().put("type", SNAPSHOT).put("id", chunk.snapshotId());
+        node.put("epoch", chunk.epoch()).put("asOf", chunk.asOf());
+        node.put("index", chunk.index()).put("count", chunk.count());
+        node.put("historyFloor", chunk.historyFloor());
+        writeDocuments(node.putArray("documents"), chunk.documents());
+        writeHistory(node.putArray("history"), chunk.history());
+        return node;
+    }
+
+    private static void writeDocuments(ArrayNode array, Iterable<VersionedDocument> documents) {
+        for (VersionedDocument versioned : documents) {
+            array.addObject()
+                    .put("document", versioned.document().documentName().toString())
+                    .put("version", versioned.version())
+                    .put("author", versioned.author())
+                    .set("content", DocumentCodec.toJson(versioned.document()));
+        }
+    }
+
+    private static void writeHistory(ArrayNode array, List<HistoryEntry> history) {
+        history.forEach(entry -> array.add(HistoryCodec.toJson(entry)));
+    }
+}
--- /dev/null
+++ b/documents/src/main/java/coriandersill/documents/internal/FieldReader.java
@@ -0,0 +1,252 @@
+package coriandersill.documents.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import coriandersill.configuration.Problem;
+import java.math.BigDecimal;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * Reads the fields of one JSON object and collects every problem instead of stopping at the first.
+ *
+ * <p>A field that is missing or wrong gives a problem and a harmless value; the caller builds nothing when there are
+ * problems. {@link #end()} reports the fields that were not asked for. One thread uses it.
+ */
+public final class FieldReader {
+    private static final int MAX_FOUND = 120;
+    private static final String INVALID_NAME = "invalid";
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._:-]{1,200}");
+    private static final String NAME_EXPECTED = "1 to 200 letters, digits, '.', '_', '-' or ':'";
+
+    private final String document;
+    private final String path;
+    private final JsonNode node;
+    private final List<Problem> problems;
+    private final Set<String> asked = new HashSet<>();
+
+    private FieldReader(String document, String path, JsonNode node, List<Problem> problems) {
+        this.document = document;
+        this.path = path;
+        this.problems = problems;
+        boolean object = node != null && node.isObject();
+        if (!object) {
+            problems.add(new Problem(document, path, "an object", found(node)));
+        }
+        this.node = object ? node : null;
+    }
+
+    /** Returns a reader of the whole of {@code node} that adds to {@code problems}. */
+    public static FieldReader of(String document, JsonNode node, List<Problem> problems) {
+        return new FieldReader(document, "", node, problems);
+    }
+
+    /** Whether the field is there and not null. */
+    public boolean has(String field) {
+        return node != null && node.hasNonNull(field);
+    }
+
+    /** Reads a text; empty text is allowed. */
+    public String text(String field) {
+        JsonNode value = take(field);
+        return (value != null && value.isTextual()) ? value.textValue() : wrong(field, "a text", value, "");
+    }
+
+    /** Reads an identifier. */
+    public String name(String field) {
+        JsonNode value = take(field);
+        return node == null ? INVALID_NAME : asName(path(field), value);
+    }
+
+    /** Reads a text that matches {@code pattern} as a whole. */
+    public String text(String field, Pattern pattern, String expected, String otherwise) {
+        JsonNode value = take(field);
+        boolean fits = value != null
+                && value.isTextual()
+                && pattern.matcher(value.textValue()).matches();
+        return fits ? value.textValue() : wrong(field, expected, value, otherwise);
+    }
+
+    /** Reads one of the given words. */
+    public <T> T word(String field, Map<String, T> words, T otherwise) {
+        JsonNode value = take(field);
+        T found = value != null && value.isTextual() ? words.get(value.textValue()) : null;
+        return found != null ? found : wrong(field, "one of " + words.keySet(), value, otherwise);
+    }
+
+    /** Reads an integer from {@code min} to {@code max}. */
+    public long integer(String field, long min, long max) {
+        JsonNode value = take(field);
+        boolean fits = value != null
+                && value.isIntegralNumber()
+                && value.canConvertToLong()
+                && value.longValue() >= min
+                && value.longValue() <= max;
+        String expected = "an integer from " + min + " to " + max;
+        return fits ? value.longValue() : wrong(field, expected, value, min);
+    }
+
+    /** Reads an integer of the range of {@code int} from {@code min} to {@code max}. */
+    public int smallInteger(String field, int min, int max) {
+        return Math.toIntExact(integer(field, min, max));
+    }
+
+    /** Reads a number above {@code above} and at most {@code max}. */
+    public double decimal(String field, double above, double max) {
+        JsonNode value = take(field);
+        boolean fits = value != null && value.isNumber() && value.doubleValue() > above && value.doubleValue() <= max;
+        String expected = "a number above " + plain(above) + " and at most " + plain(max);
+        return fits ? value.doubleValue() : wrong(field, expected, value, max);
+    }
+
+    /** Reads true or false. */
+    public boolean bool(String field) {
+        JsonNode value = take(field);
+        return (value != null && value.isBoolean())
+                ? value.booleanValue()
+                : wrong(field, "true or false", value, false);
+    }
+
+    /** Reads a time, for example {@code 2026-03-01T06:00:00Z}. */
+    public Instant instant(String field) {
+        return parsed(field, "a time such as 2026-03-01T06:00:00Z", Instant::parse, Instant.EPOCH);
+    }
+
+    /** Reads a duration of zero or more, for example {@code PT5M}. */
+    public Duration duration(String field) {
+        Duration value = parsed(field, "a duration such as PT5M", Duration::parse, Duration.ZERO);
+        return value.isNegative() ? wrong(field, "a duration of zero or more", take(field), Duration.ZERO) : value;
+    }
+
+    /** Reads an object. */
+    public FieldReader object(String field) {
+        return new FieldReader(document, path(field), take(field), problems);
+    }
+
+    /** Reads a list of objects; a missing list is wrong. */
+    public <T> List<T> objects(String field, Function<FieldReader, T> reader) {
+        List<T> all = new ArrayList<>();
+        for (JsonNode element : elements(field)) {
+            FieldReader one = new FieldReader(document, path(field) + "[" + all.size() + "]", element, problems);
+            all.add(reader.apply(one));
+            one.end();
+        }
+        return all;
+    }
+
+    /** Reads a list of identifiers without repeats. */
+    public List<String> names(String field) {
+        List<String> all = new ArrayList<>();
+        for (JsonNode element : elements(field)) {
+            String where = path(field) + "[" + all.size() + "]";
+            String name = asName(where, element);
+            if (all.contains(name)) {
+                problems.add(new Problem(document, where, "names used once", found(element)));
+            }
+            all.add(name);
+        }
+        return all;
+    }
+
+    /** Reads an object whose fields are identifiers and whose values are objects. */
+    public <T> Map<String, T> objectsByName(String field, Function<FieldReader, T> reader) {
+        Map<String, T> all = new LinkedHashMap<>();
+        JsonNode value = take(field);
+        if (value == null || !value.isObject()) {
+            return wrong(field, "an object", value, all);
+        }
+        value.fields().forEachRemaining(entry -> {
+            String where = path(field) + "." + entry.getKey();
+            asName(where, JsonNodeFactory.instance.textNode(entry.getKey()));
+            FieldReader one = new FieldReader(document, where, entry.getValue(), problems);
+            all.put(entry.getKey(), reader.apply(one));
+            one.end();
+        });
+        return all;
+    }
+
+    /** Returns the raw value of a field; null when it is missing. */
+    public JsonNode raw(String field) {
+        return take(field);
+    }
+
+    /** Adds a problem of a field. */
+    public void problem(String field, String expected, String found) {
+        problems.add(new Problem(document, path(field), expected, found));
+    }
+
+    /** Reports every field that was not asked for. */
+    public void end() {
+        if (node != null) {
+            node.fieldNames().forEachRemaining(field -> {
+                if (!asked.contains(field)) {
+                    problem(field, "no such field", found(node.get(field)));
+                }
+            });
+        }
+    }
+
+    private Iterable<JsonNode> elements(String field) {
+        JsonNode value = take(field);
+        return (value != null && value.isArray()) ? value : wrong(field, "a list", value, List.of());
+    }
+
+    private <T> T parsed(String field, String expected, Function<String, T> parser, T otherwise) {
+        JsonNode value = take(field);
+        if (value != null && value.isTextual()) {
+            try {
+                return parser.apply(value.textValue());
+            } catch (DateTimeException e) {
+                return wrong(field, expected, value, otherwise);
+            }
+        }
+        return wrong(field, expected, value, otherwise);
+    }
+
+    private String asName(String where, JsonNode value) {
+        if (value != null
+                && value.isTextual()
+                && NAME.matcher(value.textValue()).matches()) {
+            return value.textValue();
+        }
+        problems.add(new Problem(document, where, NAME_EXPECTED, found(value)));
+        return INVALID_NAME;
+    }
+
+    private JsonNode take(String field) {
+        asked.add(field);
+        return node == null ? null : node.get(field);
+    }
+
+    private <T> T wrong(String field, String expected, JsonNode value, T otherwise) {
+        if (node != null) {
+            problem(field, expected, found(value));
+        }
+        return otherwise;
+    }
+
+    private String path(String field) {
+        return path.isEmpty() ? field : path + "." + field;
+    }
+
+    private static String found(JsonNode value) {
+        return Optional.ofNullable(value)
+                .map(JsonNode::toString)
+                .map(text -> text.length() > MAX_FOUND ? text.substring(0, MAX_FOUND) + "..." : text)
+                .orElse("nothing");
+    }
+
+    private static String plain(double value) {
+        return BigDecimal.valueOf(value).stripTrailingZeros().toPlainString();
+    }
+}
--- /dev/null
+++ b/documents/src/main/java/coriandersill/documents/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Strict reading of JSON that collects every problem. */
+package coriandersill.documents.internal;
