Reach the platform over HTTP, and stand in for it with a server

Cause: daemons read the log, the instance list and the weight store over HTTP; the quickstart and tests need something that answers. Ruled out: Vert.x WebClient (no bound on an answer's bytes) and decoding on the event loop (pages of hundreds of records). Change: HttpPlatform with one deadline and bound per call, PlatformServer over InMemoryLog with InstanceTable (ages out, lags) and WeightShelf (rate limit). An append fails with ran NO only when no byte was sent or the log says so.

--- /dev/null
+++ b/platform-http/src/main/java/coriandersill/platform/http/HttpInstances.java
@@ -0,0 +1,86 @@
+package coriandersill.platform.http;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.InstanceId;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.platform.InstanceList;
+import coriandersill.platform.InstanceRegistry;
+import coriandersill.platform.ListedInstance;
+import coriandersill.platform.http.internal.HttpExchange;
+import coriandersill.platform.http.internal.HttpExchange.Answer;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The list of instances over HTTP. */
+final class HttpInstances implements InstanceList, InstanceRegistry {
+    private final HttpExchange exchange;
+    private final Duration deadline;
+
+    HttpInstances(HttpExchange exchange, Duration deadline) {
+        this.exchange = exchange;
+        this.deadline = deadline;
+    }
+
+    @Override
+    public CompletableFuture<List<ListedInstance>> read() {
+        return exchange.send(HttpMethod.GET, "/instances", Buffer.buffer(), deadline, ErrorKind.UNAVAILABLE)
+                .thenApply(HttpInstances::checked)
+                .thenApply(HttpInstances::instances);
+    }
+
+    @Override
+    public CompletableFuture<Void> register(ListedInstance instance) {
+        JsonObject body = new JsonObject()
+                .put("role", instance.role())
+                .put("zone", instance.zone().value())
+                .put("host", instance.host())
+                .put("port", instance.port())
+                .put("leaving", instance.leaving());
+        instance.service().ifPresent(service -> body.put("service", service.value()));
+        instance.version().ifPresent(version -> body.put("version", version.value()));
+        String uri = "/instances/" + instance.id().value();
+        return exchange.send(HttpMethod.PUT, uri, body.toBuffer(), deadline, ErrorKind.UNAVAILABLE)
+                .thenApply(HttpInstances::checked)
+                .thenAccept(answer -> {});
+    }
+
+    private static Answer checked(Answer answer) {
+        if (answer.status() != 200) {
+            throw CallFailure.of(ErrorKind.UNAVAILABLE, "instance list answered " + answer.status());
+        }
+        return answer;
+    }
+
+    private static List<ListedInstance> instances(Answer answer) {
+        try {
+            List<ListedInstance> all = new ArrayList<>();
+            for (Object element : answer.body().toJsonObject().getJsonArray("instances")) {
+                all.add(instance((JsonObject) element));
+            }
+            return all;
+        } catch (RuntimeException e) {
+            throw CallFailure.of(ErrorKind.UNAVAILABLE, "instance list cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static ListedInstance instance(JsonObject json) {
+        return new ListedInstance(
+                InstanceId.of(json.getString("id")),
+                json.getString("role"),
+                AvailabilityZone.of(json.getString("zone")),
+                json.getString("host"),
+                json.getInteger("port"),
+                json.getBoolean("leaving", false),
+                Optional.ofNullable(json.getString("service")).map(ServiceName::of),
+                Optional.ofNullable(json.getString("version")).map(VersionName::of));
+    }
+}
--- /dev/null
+++ b/platform-http/src/main/java/coriandersill/platform/http/HttpLog.java
@@ -0,0 +1,100 @@
+package coriandersill.platform.http;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.Ran;
+import coriandersill.platform.LogPage;
+import coriandersill.platform.LogRecord;
+import coriandersill.platform.PlatformLog;
+import coriandersill.platform.http.internal.HttpExchange;
+import coriandersill.platform.http.internal.HttpExchange.Answer;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** The log over HTTP: JSON with base64 data, reads by long poll. */
+final class HttpLog implements PlatformLog {
+    private final HttpExchange exchange;
+    private final Duration deadline;
+    private final Duration wait;
+
+    HttpLog(HttpExchange exchange, Duration deadline, Duration wait) {
+        this.exchange = exchange;
+        this.deadline = deadline;
+        this.wait = wait;
+    }
+
+    @Override
+    public CompletableFuture<Long> append(String stream, List<byte[]> records) {
+        JsonArray encoded = new JsonArray();
+        records.forEach(record -> encoded.add(Base64.getEncoder().encodeToString(record)));
+        Buffer body = new JsonObject().put("records", encoded).toBuffer();
+        return exchange.send(HttpMethod.POST, uri(stream), body, deadline, ErrorKind.LOG_UNAVAILABLE)
+                .thenApply(answer -> {
+                    if (answer.status() == 200) {
+                        return decode(answer).getLong("first");
+                    }
+                    throw appendFailure(answer);
+                });
+    }
+
+    @Override
+    public CompletableFuture<LogPage> read(String stream, long from, int limit) {
+        String uri = uri(stream) + "?from=" + from + "&limit=" + limit + "&waitMillis=" + wait.toMillis();
+        return exchange.send(HttpMethod.GET, uri, Buffer.buffer(), deadline.plus(wait), ErrorKind.LOG_UNAVAILABLE)
+                .thenApply(answer -> {
+                    if (answer.status() == 200) {
+                        return page(decode(answer));
+                    }
+                    throw CallFailure.of(ErrorKind.LOG_UNAVAILABLE, "log answered " + answer.status());
+                });
+    }
+
+    private static CallFailure appendFailure(Answer answer) {
+        String message = "log answered " + answer.status();
+        if (answer.status() >= 400 && answer.status() < 500) {
+            return CallFailure.of(ErrorKind.INVALID_REQUEST, message + ": " + answer.body());
+        }
+        boolean refused =
+                answer.status() == 503 && Boolean.FALSE.equals(decode(answer).getValue("taken"));
+        return CallFailure.of(ErrorKind.LOG_UNAVAILABLE, message).withRan(refused ? Ran.NO : Ran.UNKNOWN);
+    }
+
+    private static LogPage page(JsonObject json) {
+        try {
+            List<LogRecord> records = new ArrayList<>();
+            for (Object element : json.getJsonArray("records")) {
+                JsonObject record = (JsonObject) element;
+                records.add(new LogRecord(
+                        record.getLong("offset"),
+                        Instant.parse(record.getString("time")),
+                        Base64.getDecoder().decode(record.getString("data"))));
+            }
+            return new LogPage(json.getLong("oldest"), json.getLong("end"), records);
+        } catch (RuntimeException e) {
+            throw CallFailure.of(ErrorKind.LOG_UNAVAILABLE, "page cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static JsonObject decode(Answer answer) {
+        try {
+            return answer.body().toJsonObject();
+        } catch (RuntimeException e) {
+            throw CallFailure.of(ErrorKind.LOG_UNAVAILABLE, "answer cannot be read: " + e.getMessage())
+                    .withRan(Ran.UNKNOWN);
+        }
+    }
+
+    private static String uri(String stream) {
+        return "/streams/" + URLEncoder.encode(stream, StandardCharsets.UTF_8) + "/records";
+    }
+}
--- /dev/null
+++ b/platform-http/src/main/java/coriandersill/platform/http/internal/package-info.java
@@ -0,0 +1,2 @@
+/** One bounded HTTP exchange with the platform. */
+package coriandersill.platform.http.internal;
--- /dev/null
+++ b/platform-http/src/test/java/coriandersill/platform/http/HttpPlatformTest.java
@@ -0,0 +1,156 @@
+package coriandersill.platform.http;
+
+import static coriandersill.platform.http.PlatformLogContractTest.await;
+import static coriandersill.platform.http.PlatformLogContractTest.failure;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.InstanceId;
+import coriandersill.core.ManualClock;
+import coriandersill.core.Ran;
+import coriandersill.core.ServiceName;
+import coriandersill.platform.ListedInstance;
+import coriandersill.platform.WeightStore;
+import coriandersill.standins.platform.InMemoryLog;
+import coriandersill.standins.platform.InstanceTable;
+import coriandersill.standins.platform.PlatformServer;
+import coriandersill.standins.platform.WeightShelf;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** C12 and section 6: deadlines, bounded bodies and unreadable answers; instances that age out; a rate limit. */
+final class HttpPlatformTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+
+    @AfterEach
+    void close() throws Exception {
+        await(vertx.close().toCompletionStage().toCompletableFuture());
+    }
+
+    @Test
+    void aCallThatIsNotAnsweredFailsAtItsDeadlineAsUnknown() throws Exception {
+        HttpPlatform platform = client(serve(request -> {}), 100, 1 << 10);
+        assertThat(failure(platform.log().append("s", List.of(new byte[1]))).ran(), is(Ran.UNKNOWN));
+        assertThat(failure(platform.log().read("s", 0, 1)).kind(), is(ErrorKind.LOG_UNAVAILABLE));
+        assertThat(failure(platform.instances().read()).kind(), is(ErrorKind.UNAVAILABLE));
+    }
+
+    @Test
+    void anAppendToAPortWithoutAServerIsNotTaken() throws Exception {
+        HttpServer gone = serve(request -> {});
+        int port = gone.actualPort();
+        await(gone.close().toCompletionStage().toCompletableFuture());
+        HttpPlatform platform = HttpPlatform.builder(vertx, "127.0.0.1", port).build();
+        assertThat(failure(platform.log().append("s", List.of(new byte[1]))).ran(), is(Ran.NO));
+    }
+
+    @Test
+    void anAnswerThatIsTooLargeOrUnreadableIsAFailureOfTheLog() throws Exception {
+        HttpPlatform large = client(serve(request -> answer(request, "x".repeat(5000))), 20_000, 1 << 10);
+        assertThat(failure(large.log().read("s", 0, 1)).kind(), is(ErrorKind.LOG_UNAVAILABLE));
+        for (String body : List.of("no json", "{}", "{\"records\":[{}],\"oldest\":0,\"end\":1}")) {
+            HttpPlatform odd = client(serve(request -> answer(request, body)), 20_000, 1 << 10);
+            assertThat(body, failure(odd.log().read("s", 0, 1)).kind(), is(ErrorKind.LOG_UNAVAILABLE));
+        }
+    }
+
+    @Test
+    void aReadWithoutNewRecordsEndsWithAnEmptyPage() throws Exception {
+        HttpPlatform platform = HttpPlatform.builder(vertx, "127.0.0.1", platformServer(Duration.ZERO))
+                .wait(Duration.ofMillis(50))
+                .build();
+        assertThat(await(platform.log().read("s", 0, 1)).records(), is(empty()));
+    }
+
+    @Test
+    void anInstanceIsListedUntilItIsNotRenewed() throws Exception {
+        HttpPlatform platform = HttpPlatform.builder(vertx, "127.0.0.1", platformServer(Duration.ZERO))
+                .build();
+        ListedInstance entry = instance("entry-1", Optional.empty());
+        ListedInstance sidecar = instance("sidecar-1", Optional.of(ServiceName.of("scribe")));
+        await(platform.registry().register(entry));
+        await(platform.registry().register(sidecar));
+        assertThat(await(platform.instances().read()), contains(entry, sidecar));
+        clock.advance(Duration.ofSeconds(6));
+        await(platform.registry().register(entry));
+        clock.advance(Duration.ofSeconds(6));
+        assertThat(await(platform.instances().read()), contains(entry));
+    }
+
+    @Test
+    void aListThatLagsShowsAnInstanceLater() throws Exception {
+        HttpPlatform platform = HttpPlatform.builder(vertx, "127.0.0.1", platformServer(Duration.ofSeconds(3)))
+                .build();
+        assertThat(await(platform.instances().read()), is(empty()));
+        await(platform.registry().register(instance("entry-1", Optional.empty())));
+        assertThat(await(platform.instances().read()), is(empty()));
+        clock.advance(Duration.ofSeconds(3));
+        assertThat(await(platform.instances().read()).size(), is(1));
+    }
+
+    @Test
+    void theWeightStoreGrantsOneLoadPerIntervalAndSaysWhenToRetry() throws Exception {
+        WeightStore weights = HttpPlatform.builder(vertx, "127.0.0.1", platformServer(Duration.ZERO))
+                .build()
+                .weights();
+        assertThat(await(weights.load("m1")).bytes(), is(7L));
+        assertThat(failure(weights.load("m1")).kind(), is(ErrorKind.OVERLOADED));
+        assertThat(failure(weights.load("m1")).retryAfter(), greaterThan(Duration.ZERO));
+        assertThat(failure(weights.load("m2")).kind(), is(ErrorKind.NOT_FOUND));
+        clock.advance(Duration.ofSeconds(5));
+        assertThat(await(weights.load("m1")).name(), is("m1"));
+    }
+
+    private int platformServer(Duration lag) throws Exception {
+        PlatformServer server = PlatformServer.create(
+                vertx,
+                "127.0.0.1",
+                0,
+                InMemoryLog.of(InstantSource.system()),
+                InstanceTable.of(clock, Duration.ofSeconds(10), lag),
+                WeightShelf.of(clock, Map.of("m1", 7L), Duration.ofSeconds(5)));
+        await(server.start());
+        return server.port();
+    }
+
+    private HttpServer serve(Handler<HttpServerRequest> handler) throws Exception {
+        return await(vertx.createHttpServer()
+                .requestHandler(handler)
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture());
+    }
+
+    private HttpPlatform client(HttpServer server, long deadlineMillis, int maxBytes) {
+        return HttpPlatform.builder(vertx, "127.0.0.1", server.actualPort())
+                .deadline(Duration.ofMillis(deadlineMillis))
+                .wait(Duration.ZERO)
+                .maxBodyBytes(maxBytes)
+                .build();
+    }
+
+    private static void answer(HttpServerRequest request, String body) {
+        var unused = request.response().end(body);
+    }
+
+    private static ListedInstance instance(String id, Optional<ServiceName> service) {
+        return new ListedInstance(
+                InstanceId.of(id), "entry", AvailabilityZone.of("a"), "127.0.0.1", 7, false, service, Optional.empty());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/coriandersill/standins/platform/WeightShelf.java
@@ -0,0 +1,61 @@
+package coriandersill.standins.platform;
+
+import coriandersill.core.MonotonicClock;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+
+/**
+ * The stand-in's weight store: a fixed set of weights, one load per interval.
+ *
+ * <p>It may be used from any thread.
+ */
+public final class WeightShelf {
+    private static final long DEFAULT_BYTES = 1L << 30;
+
+    private final MonotonicClock clock;
+    private final Map<String, Long> bytesByName;
+    private final long intervalNanos;
+    private final AtomicLong nextLoad = new AtomicLong(Long.MIN_VALUE);
+
+    private WeightShelf(MonotonicClock clock, Map<String, Long> bytesByName, Duration interval) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.bytesByName = Map.copyOf(bytesByName);
+        this.intervalNanos = interval.toNanos();
+    }
+
+    /** Returns a store that grants every load of any name. */
+    public static WeightShelf unlimited() {
+        return new WeightShelf(MonotonicClock.system(), Map.of(), Duration.ZERO);
+    }
+
+    /** Returns a store of the named weights, with their sizes in bytes, that grants one load per {@code interval}. */
+    public static WeightShelf of(MonotonicClock clock, Map<String, Long> bytesByName, Duration interval) {
+        return new WeightShelf(clock, bytesByName, interval);
+    }
+
+    void load(String name, BiConsumer<Integer, JsonObject> answer) {
+        if (!bytesByName.isEmpty() && !bytesByName.containsKey(name)) {
+            answer.accept(404, new JsonObject().put("error", "no weights " + name));
+            return;
+        }
+        long now = clock.nanos();
+        long next = nextLoad.get();
+        boolean granted = intervalNanos == 0
+                || ((next == Long.MIN_VALUE || now - next >= 0) && nextLoad.compareAndSet(next, now + intervalNanos));
+        if (granted) {
+            answer.accept(
+                    200,
+                    new JsonObject()
+                            .put("name", name)
+                            .put("bytes", bytesByName.getOrDefault(name, DEFAULT_BYTES))
+                            .put("url", "/weights/" + name + "/data"));
+        } else {
+            long waitMillis = Math.max(1, Duration.ofNanos(nextLoad.get() - now).toMillis());
+            answer.accept(429, new JsonObject().put("error", "rate limit").put("retryAfterMillis", waitMillis));
+        }
+    }
+}
