Keep a process in step with the configuration stream and apply change sets

Ruled out: fetching a peer's state on every newer digest (350 daemons would fetch on each change; a process asks only after a second behind, with jitter) and re-appending after a lost answer without looking (the id makes it safe, but the log would carry the change twice). Change: ConfigurationService, SnapshotPublisher, CatchUp, ConfigurationClient in the new module configuration-log; SnapshotPolicy.restartDelay. Seen failing first: Configuration.offset stayed at the last changed document instead of the last record, found by the C6 test. Conclusion: C1 to C12 are brought about in virtual time, 16 tests.

--- /dev/null
+++ b/configuration-log/src/main/java/coriandersill/configuration/log/ApplyResult.java
@@ -0,0 +1,58 @@
+package coriandersill.configuration.log;
+
+import coriandersill.configuration.Verdict;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What became of a change set that an operator applied.
+ *
+ * @param answer the answer
+ * @param verdict the verdict of the log's order; empty when it is unknown or the change set was not appended
+ * @param message why, for {@code UNKNOWN} and {@code NOT_APPENDED}; else empty
+ */
+public record ApplyResult(Answer answer, Optional<Verdict> verdict, String message) {
+
+    /** Refuses null. */
+    public ApplyResult {
+        Objects.requireNonNull(answer, "answer");
+        Objects.requireNonNull(verdict, "verdict");
+        Objects.requireNonNull(message, "message");
+    }
+
+    /** The ways in which applying a change set ends. */
+    public enum Answer {
+        /** It is accepted and comes into force everywhere. */
+        ACCEPTED,
+        /** A document had changed, or the base is too old: nothing was applied. */
+        CONFLICT,
+        /** It is wrong: nothing was applied. */
+        INVALID,
+        /** The log does not answer: it may or may not be applied; the same change set may be applied again. */
+        UNKNOWN,
+        /** The log does not answer, and the change set was certainly not appended. */
+        NOT_APPENDED
+    }
+
+    static ApplyResult of(Verdict verdict) {
+        if (verdict instanceof Verdict.Duplicate duplicate) {
+            return of(duplicate.first());
+        }
+        return new ApplyResult(answer(verdict), Optional.of(verdict), "");
+    }
+
+    private static Answer answer(Verdict verdict) {
+        if (verdict instanceof Verdict.Accepted) {
+            return Answer.ACCEPTED;
+        }
+        if (verdict instanceof Verdict.Invalid) {
+            return Answer.INVALID;
+        }
+        boolean conflict = verdict instanceof Verdict.Conflict || verdict instanceof Verdict.Stale;
+        return conflict ? Answer.CONFLICT : Answer.UNKNOWN;
+    }
+
+    static ApplyResult failed(boolean mayBeAppended, String message) {
+        return new ApplyResult(mayBeAppended ? Answer.UNKNOWN : Answer.NOT_APPENDED, Optional.empty(), message);
+    }
+}
--- /dev/null
+++ b/configuration-log/src/test/java/coriandersill/configuration/log/ConfigurationClientTest.java
@@ -0,0 +1,148 @@
+package coriandersill.configuration.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.configuration.AcceptedState;
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.DocumentEdit;
+import coriandersill.configuration.PeerState;
+import coriandersill.configuration.Verdict;
+import coriandersill.configuration.ZoneDocument;
+import coriandersill.configuration.log.ApplyResult.Answer;
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.ManualClock;
+import coriandersill.documents.RecordCodec;
+import coriandersill.platform.LogPage;
+import coriandersill.platform.ManualScheduler;
+import coriandersill.platform.PlatformLog;
+import coriandersill.standins.platform.InMemoryLog;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** C1, C2, C7: the four answers of applying a change set, lost answers included. */
+final class ConfigurationClientTest {
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final ManualScheduler scheduler = ManualScheduler.of(clock);
+    private final InMemoryLog log = InMemoryLog.of(clock, scheduler);
+    private final ConfigurationClient client = client();
+
+    @Test
+    void ofTwoOperatorsOnTheSameBaseOneIsToldOfTheConflict() { // C1
+        ConfigurationClient other = client();
+        AcceptedState base = client.state().join();
+        assertThat(apply(client, change("a", base, zone("z", true))).answer(), is(Answer.ACCEPTED));
+        ApplyResult loser = apply(other, change("b", base, zone("z", true)));
+        assertThat(loser.answer(), is(Answer.CONFLICT));
+        assertThat(
+                loser.verdict().orElseThrow(),
+                is(new Verdict.Conflict(
+                        List.of(new Verdict.DocumentConflict(zone("z", true).documentName(), -1, 0, "a-author")))));
+        assertThat(client.history().join().size(), is(2));
+    }
+
+    @Test
+    void aRetryAfterALostAnswerFindsItsOwnChangeAndTheTrueVerdict() { // C2
+        log.faults().loseAnswers(1);
+        CompletableFuture<ApplyResult> result = client.apply(change("a", AcceptedState.empty(), zone("z", true)));
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(result.join().verdict().orElseThrow(), is(new Verdict.Accepted(0)));
+        assertThat(
+                "appended once",
+                log.readNow(ConfigurationService.STREAM, 0, 9).join().end(),
+                is(1L));
+    }
+
+    @Test
+    void theSameChangeAppliedAgainByAnotherProcessGetsTheFirstVerdict() { // C2
+        ChangeSet change = change("a", AcceptedState.empty(), zone("z", true));
+        apply(client, change);
+        assertThat(apply(client(), change).verdict().orElseThrow(), is(new Verdict.Accepted(0)));
+        assertThat(client.state().join().documents().size(), is(1));
+    }
+
+    @Test
+    void aLogThatStaysDownIsToldApartByWhetherTheChangeMayBeInIt() { // C2
+        log.faults().down(true);
+        CompletableFuture<ApplyResult> refused = client.apply(change("a", AcceptedState.empty(), zone("z", true)));
+        scheduler.advance(Duration.ofSeconds(60));
+        assertThat(refused.join().answer(), is(Answer.NOT_APPENDED));
+        log.faults().down(false);
+        log.faults().loseAnswers(1);
+        CompletableFuture<ApplyResult> lost = client.apply(change("b", AcceptedState.empty(), zone("z", true)));
+        log.faults().down(true);
+        scheduler.advance(Duration.ofSeconds(60));
+        assertThat(lost.join().answer(), is(Answer.UNKNOWN));
+    }
+
+    @Test
+    void aWrongChangeIsInvalidAsAWholeAndSoIsItsDryRun() { // C7
+        ChangeSet wrong = change("a", AcceptedState.empty(), zone("y", false), zone("z", false));
+        assertThat(client.validate(wrong).join(), instanceOf(Verdict.Invalid.class));
+        assertThat(log.appends(), is(0L));
+        assertThat(apply(client, wrong).answer(), is(Answer.INVALID));
+        assertThat(client.state().join().documents().isEmpty(), is(true));
+    }
+
+    @Test
+    void aLogThatLostItsBeginningAndHasNoSnapshotNeedsADaemonsState() { // C3
+        apply(client, change("a", AcceptedState.empty(), zone("z", true)));
+        apply(client, change("b", client.state().join(), zone("y", true)));
+        log.faults().trim(ConfigurationService.STREAM, 1);
+        ConfigurationClient late = client();
+        CallFailure failure = CallFailure.from(Assertions.assertThrows(
+                CompletionException.class, () -> late.state().join()));
+        assertThat(failure.kind(), is(ErrorKind.UNAVAILABLE));
+        TestProcess daemon = new TestProcess("p", log, scheduler, clock);
+        daemon.service.importPeerState(
+                RecordCodec.encode(PeerState.whole(client.state().join())));
+        late.begin(daemon.service.exportState());
+        assertThat(late.state().join(), is(client.state().join()));
+    }
+
+    private ApplyResult apply(ConfigurationClient by, ChangeSet change) {
+        return by.apply(change).join();
+    }
+
+    private ConfigurationClient client() {
+        return ConfigurationClient.of(new AtOnce(log), scheduler, Duration.ofSeconds(20), clock, new Random(3));
+    }
+
+    /** A log whose reads do not wait, as the tool reads it. */
+    private record AtOnce(InMemoryLog log) implements PlatformLog {
+        @Override
+        public CompletableFuture<Long> append(String stream, List<byte[]> records) {
+            return log.append(stream, records);
+        }
+
+        @Override
+        public CompletableFuture<LogPage> read(String stream, long from, int limit) {
+            return log.readNow(stream, from, limit);
+        }
+    }
+
+    private static ChangeSet change(String id, AcceptedState base, ZoneDocument... zones) {
+        return ChangeSet.of(
+                id,
+                id + "-author",
+                "because",
+                Instant.EPOCH,
+                base.position(),
+                List.of(zones).stream()
+                        .map(zone -> DocumentEdit.put(zone, base.version(zone.documentName())))
+                        .toList());
+    }
+
+    private static ZoneDocument zone(String name, boolean inService) {
+        return new ZoneDocument(AvailabilityZone.of(name), "shewa", inService);
+    }
+}
--- /dev/null
+++ b/configuration-log/src/test/java/coriandersill/configuration/log/ConfigurationServiceTest.java
@@ -0,0 +1,243 @@
+package coriandersill.configuration.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import coriandersill.configuration.AcceptedState;
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.DocumentEdit;
+import coriandersill.configuration.DocumentName;
+import coriandersill.configuration.Proof;
+import coriandersill.configuration.SnapshotChunk;
+import coriandersill.configuration.StateDigest;
+import coriandersill.configuration.StreamPosition;
+import coriandersill.configuration.ZoneDocument;
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.ManualClock;
+import coriandersill.documents.RecordCodec;
+import coriandersill.events.EventCode;
+import coriandersill.platform.ManualScheduler;
+import coriandersill.standins.platform.InMemoryLog;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** C3 to C12 with several processes over one log, in virtual time; seeds come from the processes' names. */
+final class ConfigurationServiceTest {
+    private static final String STREAM = ConfigurationService.STREAM;
+    private static final DocumentName ZONE = zone(true).documentName();
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final ManualScheduler scheduler = ManualScheduler.of(clock);
+    private final InMemoryLog log = InMemoryLog.of(clock, scheduler);
+    private final TestProcess first = process("p1").started();
+    private int changes;
+
+    @Test
+    void documentsSurviveTheRetentionOfTheLogInSnapshots() { // C3
+        change(5);
+        advance(Duration.ofMinutes(5));
+        assertThat(first.events, hasItem(EventCode.SNAPSHOT_PUBLISHED));
+        log.faults().trim(STREAM, 5);
+        change(1);
+        TestProcess newcomer = process("late").started();
+        assertThat(newcomer.service.ready(), is(true));
+        assertThat(newcomer.service.state().proof(), is(Proof.SNAPSHOT));
+        assertThat(newcomer.service.state().accepted(), is(first.service.state().accepted()));
+    }
+
+    @Test
+    void aPausedProcessThatAppendsItsOldSnapshotRevertsNobodyAndHoldsBackNoNewOne() { // C4
+        change(3);
+        List<SnapshotChunk> old =
+                SnapshotChunk.of("paused:1", first.service.state().accepted(), 100);
+        change(4);
+        advance(Duration.ofMinutes(5));
+        AcceptedState before = first.service.state().accepted();
+        old.forEach(chunk -> append(RecordCodec.encode(chunk)));
+        TestProcess newcomer = process("late").started();
+        for (TestProcess process : List.of(first, newcomer)) {
+            assertThat(process.service.state().accepted().documents(), is(before.documents()));
+        }
+        assertThat(change(1), is(first.service.state().accepted().version(ZONE)));
+    }
+
+    @Test
+    void aNewcomerServesNothingWhileTheLogIsDownUntilAPeerGivesItsState() { // C5
+        change(3);
+        TestProcess newcomer = process("late");
+        newcomer.cut(true);
+        newcomer.started();
+        advance(Duration.ofSeconds(30));
+        assertThat(newcomer.service.ready(), is(false));
+        assertThat(newcomer.service.digest(), is(new StateDigest(-1)));
+        assertThat("an unproven peer has nothing to give", first.hears(newcomer), is(false));
+        assertThat(newcomer.hears(first), is(true));
+        assertThat(newcomer.service.whenReady().isDone(), is(true));
+        assertThat(
+                newcomer.service.current().documents(),
+                is(first.service.current().documents()));
+    }
+
+    @Test
+    void aNewcomerWhoseFirstRecordIsAChangeIsNotReadyUntilASnapshotComes() { // C6
+        advance(Duration.ofMinutes(5));
+        change(3);
+        log.faults().trim(STREAM, log.readNow(STREAM, 0, 1).join().end() - 1);
+        TestProcess newcomer = process("late").started();
+        assertThat(newcomer.service.ready(), is(false));
+        assertThat(newcomer.events, hasItem(EventCode.CONFIGURATION_OFFSETS));
+        advance(Duration.ofMinutes(15));
+        assertThat(newcomer.service.ready(), is(true));
+        assertThat(newcomer.service.current(), is(first.service.current()));
+    }
+
+    @Test
+    void aProcessThatCannotReadTheLogLearnsFromItsPeersWithinSeconds() { // C8
+        TestProcess behind = process("behind").started();
+        change(2);
+        behind.cut(true);
+        change(3);
+        int seconds = 0;
+        while (!behind.hears(first)) {
+            advance(Duration.ofMillis(500));
+            assertThat("half seconds until it learns", ++seconds, lessThan(5));
+        }
+        assertThat(behind.service.state().accepted(), is(first.service.state().accepted()));
+        assertThat(behind.events, hasItem(EventCode.CONFIGURATION_FROM_PEER));
+        behind.cut(false);
+        advance(Duration.ofSeconds(10));
+        change(1);
+        assertThat("it goes on from the log", behind.service.digest(), is(first.service.digest()));
+    }
+
+    @Test
+    void aGapInTheOffsetsStopsNoProcessAndIsHealedByTheNextSnapshot() { // C9
+        TestProcess second = process("p2").started();
+        change(3);
+        log.faults().skipOffsets(STREAM, 2);
+        change(1);
+        assertThat(first.service.state().accepted().version(ZONE), is(2L));
+        assertThat(first.service.ready(), is(true));
+        assertThat(first.events, hasItem(EventCode.CONFIGURATION_OFFSETS));
+        TestProcess whole = process("p3");
+        whole.service.importPeerState(second.service.exportState());
+        assertThat("both hold the same", second.service.state(), is(first.service.state()));
+        AcceptedState reached = first.service.state().accepted();
+        List<SnapshotChunk> snapshot = SnapshotChunk.of("operator:1", at(reached, 4), 100);
+        snapshot.forEach(chunk -> append(RecordCodec.encode(chunk)));
+        assertThat(first.service.state().accepted().version(ZONE), is(5L));
+        assertThat(second.service.state().accepted(), is(first.service.state().accepted()));
+    }
+
+    @Test
+    void afterARestartOfTheOffsetsOneStateIsPublishedAndAllGoOnFromIt() { // C9
+        TestProcess second = process("p2").started();
+        TestProcess third = process("p3").started();
+        change(5);
+        log.faults().restart(STREAM);
+        advance(Duration.ofSeconds(60));
+        for (TestProcess process : List.of(first, second, third)) {
+            assertThat(process.events, hasItem(EventCode.CONFIGURATION_OFFSETS));
+            assertThat(StreamPosition.epoch(process.service.state().position()), is(1L));
+            assertThat(process.service.state().accepted().version(ZONE), is(4L));
+        }
+        change(1);
+        assertThat(third.service.state().accepted().version(ZONE), greaterThan(4L));
+        assertThat(third.service.digest(), is(first.service.digest()));
+        assertThat("parts published", log.appends(), lessThan(30L));
+    }
+
+    @Test
+    void fiftyProcessesPublishNoMoreSnapshotsThanOne() { // C10
+        List<TestProcess> all = processes(50);
+        change(1);
+        advance(Duration.ofHours(3));
+        long parts = log.appends() - 1;
+        assertThat("parts in 3 h, 2 a snapshot, one each 10 to 14 min", parts, lessThan(50L));
+        assertThat(parts, greaterThan(20L));
+        assertThat(all.get(49).service.digest(), is(first.service.digest()));
+    }
+
+    @Test
+    void aRegionCutOffForAnHourServesOnShowsItsLagAndComesBackWithoutAHerd() { // C11
+        List<TestProcess> region = processes(20);
+        change(2);
+        region.forEach(process -> process.cut(true));
+        change(30);
+        advance(Duration.ofHours(1));
+        for (TestProcess process : region) {
+            assertThat(process.service.ready(), is(true));
+            assertThat(process.service.state().accepted().version(ZONE), is(1L));
+            assertThat(process.service.lag().sinceAnswer(), greaterThan(Duration.ofMinutes(59)));
+        }
+        long reads = log.reads();
+        region.forEach(process -> process.cut(false));
+        advance(Duration.ofSeconds(8));
+        region.forEach(process -> assertThat(process.service.digest(), is(first.service.digest())));
+        assertThat("reads on return, of 20", log.reads() - reads, lessThan(100L));
+    }
+
+    @Test
+    void whenAllRestartEmptyOnASlowLogNoneIsReadyBeforeItsStateIsProvenAndReadsAreFew() { // C12
+        change(40);
+        advance(Duration.ofMinutes(5));
+        log.faults().trim(STREAM, 30);
+        log.faults().slow(Duration.ofSeconds(4));
+        long reads = log.reads();
+        List<TestProcess> all = processes(20);
+        advance(Duration.ofSeconds(3));
+        all.forEach(process -> assertThat(process.service.ready(), is(false)));
+        assertThat("nobody has a state to give", all.get(0).hears(all.get(1)), is(false));
+        advance(Duration.ofSeconds(30));
+        all.forEach(process -> assertThat(process.service.ready(), is(true)));
+        assertThat("reads, of 20", log.reads() - reads, lessThan(100L));
+    }
+
+    private TestProcess process(String name) {
+        return new TestProcess(name, log, scheduler, clock);
+    }
+
+    private List<TestProcess> processes(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> process("r" + i).started())
+                .toList();
+    }
+
+    private void advance(Duration duration) {
+        scheduler.advance(duration);
+    }
+
+    private long change(int count) {
+        long offset = -1;
+        for (int i = 0; i < count; i++) {
+            AcceptedState state = first.service.state().accepted();
+            ChangeSet change = ChangeSet.of(
+                    "c" + changes++,
+                    "almaz",
+                    "because",
+                    clock.instant(),
+                    state.position(),
+                    List.of(DocumentEdit.put(zone(true), state.version(ZONE))));
+            offset = append(RecordCodec.encode(change));
+        }
+        return offset;
+    }
+
+    private long append(byte[] data) {
+        return log.append(STREAM, List.of(data)).join();
+    }
+
+    private static AcceptedState at(AcceptedState state, long position) {
+        return new AcceptedState(position, state.documents(), state.history(), state.historyFloor());
+    }
+
+    private static ZoneDocument zone(boolean inService) {
+        return new ZoneDocument(AvailabilityZone.of("shewa-a"), "shewa", inService);
+    }
+}
--- a/configuration/src/main/java/coriandersill/configuration/ConfigurationTable.java
+++ b/configuration/src/main/java/coriandersill/configuration/ConfigurationTable.java
@@ -76,6 +76,8 @@
         boolean changed = before.documents() != after.documents();
         if (changed) {
             current = after.configuration();
+        } else if (before.position() != after.position()) {
+            current = new Configuration(after.position(), current.documents());
         }
         if (changed || !result.decided().isEmpty()) {
             notifications.add(new Notification(changed ? current : null, result.decided()));
--- a/configuration/src/main/java/coriandersill/configuration/SnapshotPolicy.java
+++ b/configuration/src/main/java/coriandersill/configuration/SnapshotPolicy.java
@@ -8,8 +8,10 @@
  * @param interval the age of the last complete snapshot from which the next is due; well below the log's retention
  * @param changes the number of records since the last complete snapshot from which the next is due
  * @param jitter each process waits a random part of this longer, so that the first one's snapshot stops the others
+ * @param restartDelay how long a process waits after the stream's offsets have restarted, and up to as long again, so
+ *     that processes first take the newest state from one another
  */
-public record SnapshotPolicy(Duration interval, int changes, Duration jitter) {
+public record SnapshotPolicy(Duration interval, int changes, Duration jitter, Duration restartDelay) {
 
     /** Checks the ranges; throws {@link IllegalArgumentException}. */
     public SnapshotPolicy {
@@ -24,6 +26,6 @@
      * Returns a policy for a log that keeps records for {@code retention}: a quarter of it, with as much jitter / 4.
      */
     public static SnapshotPolicy forRetention(Duration retention) {
-        return new SnapshotPolicy(retention.dividedBy(4), 4_000, retention.dividedBy(16));
+        return new SnapshotPolicy(retention.dividedBy(4), 4_000, retention.dividedBy(16), Duration.ofSeconds(10));
     }
 }
--- a/configuration/src/test/java/coriandersill/configuration/SnapshotScheduleTest.java
+++ b/configuration/src/test/java/coriandersill/configuration/SnapshotScheduleTest.java
@@ -14,7 +14,8 @@
 
 /** C10: many processes with one schedule each, in virtual time. */
 final class SnapshotScheduleTest {
-    private static final SnapshotPolicy POLICY = new SnapshotPolicy(Duration.ofHours(6), 1000, Duration.ofMinutes(90));
+    private static final SnapshotPolicy POLICY =
+            new SnapshotPolicy(Duration.ofHours(6), 1000, Duration.ofMinutes(90), Duration.ofSeconds(10));
     private static final int PROCESSES = 350;
 
     @Test
