Build one path end to end: caller, entry, sidecar, upstream and back

Cause: the workspace had no path that serves a request. Ruled out: passing HTTP through between entry and sidecar, because attempts, token indexes and stamps need typed frames. Change: protobuf frames over Netty, the entry's call driver with one context a call, the sidecar's gate before one upstream, stand-in engines with books, an embedded set and the quickstart.

Before: the first quickstart printed 23 of 24 tokens; the answer's handler was set one turn of the event loop after its head, so that the first event was lost. Ruled out: the wire (indexes were consecutive) and the entry. The handlers are now set in the same turn; WholePathTest holds every token's text in order.

--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/Quickstart.java
@@ -0,0 +1,81 @@
+package coriandersill.daemon;
+
+import coriandersill.daemon.embedded.EmbeddedPlan;
+import coriandersill.daemon.embedded.EmbeddedSet;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.RecordParser;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+
+/** Starts an embedded set and streams one generation to the terminal; the program behind {@code bin/quickstart}. */
+public final class Quickstart {
+    private static final int PORT = 8_180;
+
+    private Quickstart() {}
+
+    /** Runs once and exits with {@code --once}; else stays up until it is told to end. */
+    @SuppressWarnings("SystemOut")
+    public static void main(String[] arguments) throws InterruptedException {
+        boolean once = List.of(arguments).contains("--once");
+        PrintStream out = System.out;
+        EmbeddedSet set = EmbeddedSet.create(EmbeddedPlan.small().withPort(once ? 0 : PORT));
+        set.start().join();
+        set.connected().join();
+        out.println("Two entries, three sidecars and their upstreams are up. One generation:");
+        long tokens = generate(set, out).join();
+        out.println();
+        out.println(tokens + " tokens, in order.");
+        if (once) {
+            set.stop(Duration.ofSeconds(2)).join();
+            return;
+        }
+        out.println("Call it yourself:");
+        out.println("  curl -N http://127.0.0.1:" + set.entryPort(0) + "/v1/completions -H 'Authorization: Bearer "
+                + set.apiKey()
+                + "' -d '{\"model\":\"scribe\",\"prompt\":\"hello\",\"max_tokens\":20,\"stream\":true}'");
+        out.println("End it with Ctrl-C.");
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> set.stop(Duration.ofSeconds(2))
+                .join()));
+        new CountDownLatch(1).await();
+    }
+
+    private static CompletableFuture<Long> generate(EmbeddedSet set, PrintStream out) {
+        CompletableFuture<Long> done = new CompletableFuture<>();
+        Vertx vertx = Vertx.vertx();
+        HttpClient client = vertx.createHttpClient();
+        JsonObject body = new JsonObject()
+                .put("model", "scribe")
+                .put("prompt", "Tell of the market day.")
+                .put("max_tokens", 24)
+                .put("stream", true);
+        client.request(HttpMethod.POST, set.entryPort(0), "127.0.0.1", "/v1/completions")
+                .compose(request -> request.putHeader("Authorization", "Bearer " + set.apiKey())
+                        .send(body.toBuffer()))
+                .onFailure(done::completeExceptionally)
+                .onSuccess(response -> {
+                    long[] tokens = {0};
+                    RecordParser events = RecordParser.newDelimited("\n\n", response);
+                    events.handler(event -> tokens[0] += print(event, out));
+                    events.endHandler(end -> done.complete(tokens[0]));
+                });
+        return done.whenComplete((tokens, error) -> vertx.close());
+    }
+
+    private static int print(Buffer event, PrintStream out) {
+        String data = event.toString().substring("data: ".length());
+        if (data.equals("[DONE]")) {
+            return 0;
+        }
+        JsonObject json = new JsonObject(data);
+        out.print(json.getJsonArray("choices").getJsonObject(0).getString("text"));
+        out.flush();
+        return 1;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedPlan.java
@@ -0,0 +1,52 @@
+package coriandersill.daemon.embedded;
+
+import coriandersill.standins.engine.EngineSettings;
+import java.time.Duration;
+
+/**
+ * What an embedded set consists of.
+ *
+ * @param zones how many availability zones
+ * @param entries how many entries
+ * @param engines how many model engines, each with its sidecar
+ * @param plainUpstreams how many upstreams of the plain service, each with its sidecar
+ * @param engine how the engines behave
+ * @param plainDelay how long the plain service takes for a call
+ * @param concurrency running requests that a warm engine bears
+ * @param port the port of the first entry; 0 takes any free one
+ */
+public record EmbeddedPlan(
+        int zones,
+        int entries,
+        int engines,
+        int plainUpstreams,
+        EngineSettings engine,
+        Duration plainDelay,
+        int concurrency,
+        int port) {
+
+    /** Returns a small set: two zones, two entries, two engines and one plain upstream. */
+    public static EmbeddedPlan small() {
+        return new EmbeddedPlan(2, 2, 2, 1, EngineSettings.fast(), Duration.ofMillis(2), 64, 0);
+    }
+
+    /** Returns the set of today's larger deployment: three zones, two entries, eight engines, three plain upstreams. */
+    public static EmbeddedPlan deployment() {
+        return new EmbeddedPlan(3, 2, 8, 3, EngineSettings.fast(), Duration.ofMillis(2), 64, 0);
+    }
+
+    /** Returns the same set with engines that behave otherwise. */
+    public EmbeddedPlan withEngine(EngineSettings other) {
+        return new EmbeddedPlan(zones, entries, engines, plainUpstreams, other, plainDelay, concurrency, port);
+    }
+
+    /** Returns the same set with the first entry at a port. */
+    public EmbeddedPlan withPort(int other) {
+        return new EmbeddedPlan(zones, entries, engines, plainUpstreams, engine, plainDelay, concurrency, other);
+    }
+
+    /** Returns the same set with engines that bear another number of running requests. */
+    public EmbeddedPlan withConcurrency(int other) {
+        return new EmbeddedPlan(zones, entries, engines, plainUpstreams, engine, plainDelay, other, port);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/coriandersill/entry/VersionChoice.java
@@ -0,0 +1,17 @@
+package coriandersill.entry;
+
+import coriandersill.configuration.ServiceDocument;
+import coriandersill.core.VersionName;
+
+/** Chooses the version of a service that serves a call. */
+@FunctionalInterface
+public interface VersionChoice {
+
+    /** Returns the version for a call whose session or prefix has the given hash. */
+    VersionName choose(ServiceDocument service, long hash);
+
+    /** Returns the choice of each service's current version. */
+    static VersionChoice current() {
+        return (service, hash) -> service.current();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/coriandersill/entry/internal/AnswerTable.java
@@ -0,0 +1,60 @@
+package coriandersill.entry.internal;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import io.vertx.core.json.JsonObject;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** The table from error kind to HTTP answer. */
+final class AnswerTable {
+    private static final Map<ErrorKind, Integer> STATUS = new EnumMap<>(ErrorKind.class);
+
+    static {
+        STATUS.put(ErrorKind.INVALID_REQUEST, 400);
+        STATUS.put(ErrorKind.UNAUTHENTICATED, 401);
+        STATUS.put(ErrorKind.FORBIDDEN, 403);
+        STATUS.put(ErrorKind.NOT_FOUND, 404);
+        STATUS.put(ErrorKind.QUOTA_EXCEEDED, 429);
+        STATUS.put(ErrorKind.OVERLOADED, 503);
+        STATUS.put(ErrorKind.UNAVAILABLE, 503);
+        STATUS.put(ErrorKind.DRAINING, 503);
+        STATUS.put(ErrorKind.DEADLINE_EXCEEDED, 504);
+        STATUS.put(ErrorKind.FENCED, 409);
+        STATUS.put(ErrorKind.LOG_UNAVAILABLE, 503);
+        STATUS.put(ErrorKind.IDEMPOTENCY_KEY_REQUIRED, 400);
+        STATUS.put(ErrorKind.IDEMPOTENCY_KEY_EXPIRED, 400);
+        STATUS.put(ErrorKind.IDEMPOTENCY_KEY_REUSED, 422);
+        STATUS.put(ErrorKind.IN_PROGRESS, 409);
+        STATUS.put(ErrorKind.OUTCOME_UNKNOWN, 502);
+        STATUS.put(ErrorKind.UPSTREAM_ERROR, 502);
+        STATUS.put(ErrorKind.GENERATION_INTERRUPTED, 502);
+        STATUS.put(ErrorKind.CANCELLED, 499);
+        STATUS.put(ErrorKind.CONFLICT, 409);
+        STATUS.put(ErrorKind.INTERNAL, 500);
+    }
+
+    private AnswerTable() {}
+
+    static int status(ErrorKind kind) {
+        return STATUS.get(kind);
+    }
+
+    /** Returns the body that tells a failure: its kind, whether the work ran, and when to retry. */
+    static JsonObject body(CallFailure failure) {
+        JsonObject error = new JsonObject()
+                .put("kind", failure.kind().name().toLowerCase(Locale.ROOT))
+                .put("message", failure.getMessage())
+                .put("ran", failure.ran().name().toLowerCase(Locale.ROOT));
+        if (!failure.retryAfter().isZero()) {
+            error.put("retry_after_ms", failure.retryAfter().toMillis());
+        }
+        return new JsonObject().put("error", error);
+    }
+
+    /** Whole seconds for the {@code Retry-After} header, rounded up. */
+    static long retryAfterSeconds(CallFailure failure) {
+        return (failure.retryAfter().toMillis() + 999) / 1_000;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/coriandersill/entry/internal/CompletionRequest.java
@@ -0,0 +1,135 @@
+package coriandersill.entry.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import java.io.IOException;
+
+/**
+ * A request on the completions form.
+ *
+ * @param model the service that it names
+ * @param stream whether the caller wants server-sent events
+ * @param maxTokens the most tokens it may generate
+ * @param prompt the prompt's text, or the messages' text in order
+ * @param session what the caller says its session is; empty if nothing
+ * @param upstreamBody the body for the upstream, always streaming
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record CompletionRequest(
+        String model, boolean stream, int maxTokens, String prompt, String session, byte[] upstreamBody) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int DEFAULT_MAX_TOKENS = 4_096;
+    private static final int LARGEST_MAX_TOKENS = 200_000;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    /** Parses a body; throws {@code INVALID_REQUEST} that names the field, what was expected and what was found. */
+    static CompletionRequest parse(byte[] body, boolean chat) {
+        JsonNode tree = tree(body);
+        if (!(tree instanceof ObjectNode object)) {
+            throw invalid(
+                    "body",
+                    "a JSON object",
+                    tree == null ? "nothing" : tree.getNodeType().toString());
+        }
+        JsonNode model = object.path("model");
+        if (!model.isTextual()) {
+            throw invalid("model", "the name of a service", model.toString());
+        }
+        boolean stream = flag(object, "stream");
+        if (object.path("n").asInt(1) != 1) {
+            throw invalid("n", "1", object.path("n").toString());
+        }
+        int maxTokens = maxTokens(object);
+        String prompt = chat ? messages(object) : prompt(object);
+        object.put("stream", true);
+        return new CompletionRequest(
+                model.asText(), stream, maxTokens, prompt, object.path("user").asText(""), bytes(object));
+    }
+
+    /** The estimated length of the prompt in tokens, 1 or more. */
+    int promptTokens() {
+        return 1 + prompt.length() / CHARACTERS_PER_TOKEN;
+    }
+
+    private static JsonNode tree(byte[] body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            throw CallFailure.of(ErrorKind.INVALID_REQUEST, "body: expected JSON, found " + firstLine(e.getMessage()));
+        }
+    }
+
+    private static boolean flag(ObjectNode object, String field) {
+        JsonNode value = object.path(field);
+        if (value.isMissingNode() || value.isNull()) {
+            return false;
+        }
+        if (!value.isBoolean()) {
+            throw invalid(field, "true or false", value.toString());
+        }
+        return value.asBoolean();
+    }
+
+    private static int maxTokens(ObjectNode object) {
+        JsonNode value =
+                object.has("max_completion_tokens") ? object.path("max_completion_tokens") : object.path("max_tokens");
+        if (value.isMissingNode() || value.isNull()) {
+            return DEFAULT_MAX_TOKENS;
+        }
+        if (!value.isInt() || value.asInt() < 1 || value.asInt() > LARGEST_MAX_TOKENS) {
+            throw invalid("max_tokens", "an integer from 1 to " + LARGEST_MAX_TOKENS, value.toString());
+        }
+        return value.asInt();
+    }
+
+    private static String prompt(ObjectNode object) {
+        JsonNode prompt = object.path("prompt");
+        if (!prompt.isTextual()) {
+            throw invalid("prompt", "a string", prompt.toString());
+        }
+        return prompt.asText();
+    }
+
+    private static String messages(ObjectNode object) {
+        JsonNode messages = object.path("messages");
+        if (!messages.isArray() || messages.isEmpty()) {
+            throw invalid("messages", "an array of one message or more", messages.toString());
+        }
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < messages.size(); i++) {
+            JsonNode message = messages.get(i);
+            if (!message.path("role").isTextual()) {
+                throw invalid(
+                        "messages[" + i + "].role",
+                        "a string",
+                        message.path("role").toString());
+            }
+            JsonNode content = message.path("content");
+            text.append(content.isTextual() ? content.asText() : content.toString())
+                    .append('\n');
+        }
+        return text.toString();
+    }
+
+    private static byte[] bytes(ObjectNode object) {
+        try {
+            return MAPPER.writeValueAsBytes(object);
+        } catch (JsonProcessingException e) {
+            throw CallFailure.of(ErrorKind.INVALID_REQUEST, "body: expected JSON that can be written again");
+        }
+    }
+
+    private static CallFailure invalid(String path, String expected, String found) {
+        String shown = found.isEmpty() ? "nothing" : found.substring(0, Math.min(found.length(), 100));
+        return CallFailure.of(ErrorKind.INVALID_REQUEST, path + ": expected " + expected + ", found " + shown);
+    }
+
+    private static String firstLine(String text) {
+        int end = text.indexOf('\n');
+        return end < 0 ? text : text.substring(0, end);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/coriandersill/entry/internal/EntryContext.java
@@ -0,0 +1,36 @@
+package coriandersill.entry.internal;
+
+import com.codahale.metrics.MetricRegistry;
+import coriandersill.configuration.Configuration;
+import coriandersill.core.MonotonicClock;
+import coriandersill.entry.EntrySettings;
+import coriandersill.entry.VersionChoice;
+import coriandersill.events.EventLog;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * What the parts of the entry work with.
+ *
+ * @param settings the entry's settings
+ * @param vertx runs the HTTP listener and timers
+ * @param workers run decisions
+ * @param configuration the accepted configuration
+ * @param versions chooses versions
+ * @param clock times calls
+ * @param random draws identities and delays
+ * @param events takes events
+ * @param metrics counts
+ */
+public record EntryContext(
+        EntrySettings settings,
+        Vertx vertx,
+        WorkerPool workers,
+        Supplier<Configuration> configuration,
+        VersionChoice versions,
+        MonotonicClock clock,
+        RandomGenerator random,
+        EventLog events,
+        MetricRegistry metrics) {}
--- /dev/null
+++ b/entry/src/main/java/coriandersill/entry/internal/EntryParts.java
@@ -0,0 +1,95 @@
+package coriandersill.entry.internal;
+
+import coriandersill.core.ManagedService;
+import coriandersill.entry.OnceOnlyCalls;
+import coriandersill.events.EventCode;
+import coriandersill.platform.InstanceList;
+import coriandersill.routing.RoutingPolicy;
+import coriandersill.wire.Message;
+import coriandersill.wire.WireListener;
+import coriandersill.wire.WireLoops;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Puts the parts of an entry together, and starts and stops them in order. */
+public final class EntryParts implements ManagedService {
+    private final EntryContext entry;
+    private final SidecarDirectory directory;
+    private final CallService calls;
+    private final SidecarLinks links;
+    private final HttpFront front;
+
+    private EntryParts(
+            EntryContext entry,
+            WireLoops loops,
+            InstanceList list,
+            RoutingPolicy policy,
+            OnceOnlyCalls onceOnly,
+            Optional<WireListener> peerMessages) {
+        this.entry = entry;
+        this.directory = new SidecarDirectory(policy);
+        this.calls = new CallService(entry, directory);
+        this.links = new SidecarLinks(entry, loops, list, directory, calls, peerMessages);
+        this.front = HttpFront.create(entry, calls, onceOnly);
+    }
+
+    /** Returns the parts, not started. */
+    public static EntryParts create(
+            EntryContext entry,
+            WireLoops loops,
+            InstanceList list,
+            RoutingPolicy policy,
+            OnceOnlyCalls onceOnly,
+            Optional<WireListener> peerMessages) {
+        return new EntryParts(entry, loops, list, policy, onceOnly, peerMessages);
+    }
+
+    /** The port of the HTTP listener, once started. */
+    public int port() {
+        return front.port();
+    }
+
+    /** How many sidecars are connected. */
+    public int connectedSidecars() {
+        return directory.connected();
+    }
+
+    /** How many calls are open. */
+    public int openCalls() {
+        return calls.openCalls();
+    }
+
+    /** Why the entry is not ready, or null. */
+    public String unready() {
+        if (calls.draining()) {
+            return "draining";
+        }
+        if (!links.listed()) {
+            return "the instance list has not been read";
+        }
+        return entry.configuration().get().offset() < 0 ? "no configuration is proven" : null;
+    }
+
+    /** Sends a message to every connected sidecar. */
+    public void broadcast(Message message) {
+        links.connections().forEach(connection -> connection.send(message));
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return links.start().thenCompose(linked -> front.start());
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        entry.events().record(EventCode.DAEMON_DRAINING, Map.of("open", calls.openCalls()));
+        return calls.drain(grace).thenCompose(drained -> {
+            if (!drained) {
+                entry.events().record(EventCode.DRAIN_DEADLINE, Map.of("open", calls.openCalls()));
+            }
+            return front.stop(grace).thenCompose(stopped -> links.stop(grace));
+        });
+    }
+}
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/Await.java
@@ -0,0 +1,39 @@
+package coriandersill.functional;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Waits for a condition that becomes true by itself; fails after a generous time. */
+final class Await {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final ScheduledExecutorService TIMER = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "await");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    private Await() {}
+
+    static void until(BooleanSupplier condition) {
+        CompletableFuture<Void> reached = new CompletableFuture<>();
+        ScheduledFuture<?> poll = TIMER.scheduleAtFixedRate(
+                () -> {
+                    if (condition.getAsBoolean()) {
+                        reached.complete(null);
+                    }
+                },
+                0,
+                10,
+                TimeUnit.MILLISECONDS);
+        try {
+            reached.orTimeout(PATIENCE.toSeconds(), TimeUnit.SECONDS).join();
+        } finally {
+            poll.cancel(false);
+        }
+    }
+}
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/CallerClient.java
@@ -0,0 +1,109 @@
+package coriandersill.functional;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** A caller, as the tests need it. */
+final class CallerClient {
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client;
+    private final String apiKey;
+
+    CallerClient(String apiKey, HttpVersion version) {
+        this.apiKey = apiKey;
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setProtocolVersion(version), new PoolOptions().setHttp1MaxSize(3_000));
+    }
+
+    /** A generation as it came: its status, its texts in order, whether it ended whole, and an error's body. */
+    record Streamed(int status, List<String> texts, boolean done, String error) {}
+
+    /** An answer. */
+    record Answer(int status, Map<String, String> headers, String body) {
+        JsonObject json() {
+            return new JsonObject(body);
+        }
+
+        String errorKind() {
+            return json().getJsonObject("error").getString("kind");
+        }
+
+        String ran() {
+            return json().getJsonObject("error").getString("ran");
+        }
+    }
+
+    CompletableFuture<Streamed> stream(int port, String service, int maxTokens) {
+        JsonObject body = new JsonObject()
+                .put("model", service)
+                .put("prompt", "once")
+                .put("max_tokens", maxTokens)
+                .put("stream", true);
+        CompletableFuture<Streamed> result = new CompletableFuture<>();
+        open(port, HttpMethod.POST, "/v1/completions")
+                .compose(request -> request.send(body.toBuffer()))
+                .onFailure(result::completeExceptionally)
+                .onSuccess(response -> {
+                    List<String> texts = new ArrayList<>();
+                    boolean[] done = {false};
+                    StringBuilder error = new StringBuilder();
+                    RecordParser events = RecordParser.newDelimited("\n\n", response);
+                    events.exceptionHandler(result::completeExceptionally);
+                    events.endHandler(end ->
+                            result.complete(new Streamed(response.statusCode(), texts, done[0], error.toString())));
+                    events.handler(event -> {
+                        String text = event.toString();
+                        if (text.equals("data: [DONE]")) {
+                            done[0] = true;
+                        } else if (text.contains("\"choices\"")) {
+                            texts.add(new JsonObject(text.substring(6))
+                                    .getJsonArray("choices")
+                                    .getJsonObject(0)
+                                    .getString("text"));
+                        } else {
+                            error.append(text);
+                        }
+                    });
+                });
+        return result.orTimeout(60, TimeUnit.SECONDS);
+    }
+
+    CompletableFuture<Answer> call(int port, String method, String path, Map<String, String> headers, String body) {
+        CompletableFuture<Answer> result = new CompletableFuture<>();
+        open(port, HttpMethod.valueOf(method), path)
+                .compose(request -> {
+                    headers.forEach(request::putHeader);
+                    return request.send(body);
+                })
+                .compose(response -> response.body().map(bytes -> {
+                    Map<String, String> found = new java.util.HashMap<>();
+                    response.headers()
+                            .forEach((name, value) -> found.put(name.toLowerCase(java.util.Locale.ROOT), value));
+                    return new Answer(response.statusCode(), found, bytes.toString());
+                }))
+                .onSuccess(result::complete)
+                .onFailure(result::completeExceptionally);
+        return result.orTimeout(60, TimeUnit.SECONDS);
+    }
+
+    private io.vertx.core.Future<HttpClientRequest> open(int port, HttpMethod method, String path) {
+        return client.request(method, port, "127.0.0.1", path)
+                .map(request -> request.putHeader("Authorization", "Bearer " + apiKey));
+    }
+
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+}
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/WholePathTest.java
@@ -0,0 +1,129 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.daemon.embedded.EmbeddedPlan;
+import coriandersill.daemon.embedded.EmbeddedSet;
+import io.vertx.core.http.HttpVersion;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Three zones, two entries, eight engines and three plain upstreams on real sockets. */
+final class WholePathTest {
+    private static final EmbeddedSet SET = EmbeddedSet.create(EmbeddedPlan.deployment());
+
+    @BeforeAll
+    static void start() {
+        SET.start().join();
+        SET.connected().join();
+    }
+
+    @AfterAll
+    static void stop() {
+        SET.stop(Duration.ofSeconds(1)).join();
+    }
+
+    private static List<String> words(int count) {
+        return IntStream.range(0, count).mapToObj(i -> " w" + i).toList();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = HttpVersion.class,
+            names = {"HTTP_1_1", "HTTP_2"})
+    void aGenerationArrivesWholeAndInOrder(HttpVersion version) {
+        CallerClient caller = new CallerClient(SET.apiKey(), version);
+        CallerClient.Streamed streamed =
+                caller.stream(SET.entryPort(0), "scribe", 700).join();
+        caller.close();
+        assertThat(streamed.status(), is(200));
+        assertThat(streamed.texts(), is(words(700)));
+        assertThat(streamed.done(), is(true));
+    }
+
+    @Test
+    void manyGenerationsThroughBothEntriesEachArriveWhole() {
+        CallerClient caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+        List<CompletableFuture<CallerClient.Streamed>> calls = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            calls.add(caller.stream(SET.entryPort(i % 2), "scribe", 10 + i % 50));
+        }
+        for (int i = 0; i < 200; i++) {
+            assertThat("call " + i, calls.get(i).join().texts(), is(words(10 + i % 50)));
+        }
+        caller.close();
+    }
+
+    @Test
+    void aGenerationThatIsNotStreamedIsAnsweredWholeWithItsUsage() {
+        CallerClient caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+        CallerClient.Answer answer = caller.call(
+                        SET.entryPort(1),
+                        "POST",
+                        "/v1/chat/completions",
+                        Map.of(),
+                        "{\"model\":\"scribe\",\"max_tokens\":3,\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}")
+                .join();
+        caller.close();
+        assertThat(answer.status(), is(200));
+        assertThat(answer.body(), containsString("\"content\":\" w0 w1 w2\""));
+        assertThat(answer.json().getJsonObject("usage").getInteger("completion_tokens"), is(3));
+    }
+
+    @Test
+    void aLookupReachesThePlainServiceByItsPath() {
+        CallerClient caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+        CallerClient.Answer answer = caller.call(
+                        SET.entryPort(0), "GET", "/services/ledger/orders/7?full=1", Map.of(), "")
+                .join();
+        caller.close();
+        assertThat(answer.status(), is(200));
+        assertThat(answer.json().getString("path"), is("/orders/7"));
+    }
+
+    @Test
+    void aCallThatMayNotBeRepeatedIsRefusedWithoutItsKey() {
+        CallerClient caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+        CallerClient.Answer answer = caller.call(SET.entryPort(0), "POST", "/services/ledger/bookings", Map.of(), "{}")
+                .join();
+        caller.close();
+        assertThat(answer.status(), is(400));
+        assertThat(List.of(answer.errorKind(), answer.ran()), contains("idempotency_key_required", "no"));
+    }
+
+    @Test
+    void aCallerWhoGoesAwayEndsTheGenerationAtItsEngine() {
+        CallerClient caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+        long before = SET.engines().stream()
+                .mapToLong(engine -> engine.books().cancelled())
+                .sum();
+        CompletableFuture<CallerClient.Streamed> call = caller.stream(SET.entryPort(0), "scribe", 100_000);
+        Await.until(
+                () -> SET.engines().stream().anyMatch(engine -> engine.books().running() > 0));
+        caller.close();
+        Await.until(() -> SET.engines().stream()
+                        .mapToLong(engine -> engine.books().cancelled())
+                        .sum()
+                > before);
+        assertThat(
+                call.isCompletedExceptionally()
+                        || !call.isDone()
+                        || !call.join().done(),
+                is(true));
+        Await.until(() -> SET.entries().get(0).openCalls() == 0);
+        assertThat(SET.entries().stream().map(entry -> entry.openCalls()).toList(), everyItem(is(0)));
+    }
+}
--- /dev/null
+++ b/operations/src/main/java/coriandersill/operations/OperationsServer.java
@@ -0,0 +1,142 @@
+package coriandersill.operations;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import coriandersill.core.ManagedService;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Serves {@code /healthz}, {@code /readyz}, {@code /metrics} (Prometheus text), {@code /metrics.json} and status pages.
+ *
+ * <pre>{@code
+ * OperationsServer operations = OperationsServer.create(vertx, "127.0.0.1", 0, metrics, daemon::unready)
+ *         .page("/status", daemon::status);
+ * }</pre>
+ */
+public final class OperationsServer implements ManagedService {
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final int STATUS_NOT_FOUND = 404;
+
+    private final Vertx vertx;
+    private final String host;
+    private final int port;
+    private final MetricRegistry metrics;
+    private final Supplier<String> unready;
+    private final Map<String, Supplier<JsonObject>> pages = new ConcurrentHashMap<>();
+    private final CollectorRegistry prometheus = new CollectorRegistry();
+    private final ObjectMapper json =
+            new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+    private HttpServer server;
+
+    private OperationsServer(Vertx vertx, String host, int port, MetricRegistry metrics, Supplier<String> unready) {
+        this.vertx = Objects.requireNonNull(vertx, "vertx");
+        this.host = Objects.requireNonNull(host, "host");
+        this.port = port;
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.unready = Objects.requireNonNull(unready, "unready");
+        prometheus.register(new DropwizardExports(metrics));
+    }
+
+    /** Returns a server for an address; {@code unready} gives the reason why the daemon is not ready, or null. */
+    public static OperationsServer create(
+            Vertx vertx, String host, int port, MetricRegistry metrics, Supplier<String> unready) {
+        return new OperationsServer(vertx, host, port, metrics, unready);
+    }
+
+    /** Adds a page of JSON at a path. */
+    public OperationsServer page(String path, Supplier<JsonObject> content) {
+        pages.put(path, content);
+        return this;
+    }
+
+    /** The port that the server listens on, once started. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        server = vertx.createHttpServer(new HttpServerOptions().setHost(host).setPort(port))
+                .requestHandler(this::handle);
+        return server.listen().<Void>mapEmpty().toCompletionStage().toCompletableFuture();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        if (server == null) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return server.close().toCompletionStage().toCompletableFuture();
+    }
+
+    private void handle(HttpServerRequest request) {
+        switch (request.path()) {
+            case "/healthz" -> request.response().end("ok\n");
+            case "/readyz" -> ready(request);
+            case "/metrics" -> prometheus(request);
+            case "/metrics.json" -> json(request);
+            default -> page(request);
+        }
+    }
+
+    private void ready(HttpServerRequest request) {
+        String reason = unready.get();
+        if (reason == null) {
+            request.response().end("ready\n");
+        } else {
+            request.response().setStatusCode(STATUS_UNAVAILABLE).end("not ready: " + reason + "\n");
+        }
+    }
+
+    private void prometheus(HttpServerRequest request) {
+        StringWriter text = new StringWriter();
+        try {
+            TextFormat.write004(text, prometheus.metricFamilySamples());
+        } catch (IOException e) {
+            throw new IllegalStateException("a string writer does not fail", e);
+        }
+        request.response()
+                .putHeader("Content-Type", TextFormat.CONTENT_TYPE_004)
+                .end(text.toString());
+    }
+
+    private void json(HttpServerRequest request) {
+        try {
+            request.response()
+                    .putHeader("Content-Type", "application/json")
+                    .end(Buffer.buffer(json.writeValueAsBytes(metrics)));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("metrics cannot be written as JSON", e);
+        }
+    }
+
+    private void page(HttpServerRequest request) {
+        Supplier<JsonObject> content = pages.get(request.path());
+        if (content == null) {
+            request.response().setStatusCode(STATUS_NOT_FOUND).end();
+        } else {
+            request.response()
+                    .putHeader("Content-Type", "application/json")
+                    .end(content.get().toBuffer());
+        }
+    }
+}
--- /dev/null
+++ b/operations/src/main/java/coriandersill/operations/package-info.java
@@ -0,0 +1,2 @@
+/** Health, readiness and metrics of a daemon over HTTP. */
+package coriandersill.operations;
--- /dev/null
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/OpenCall.java
@@ -0,0 +1,99 @@
+package coriandersill.sidecar.internal;
+
+import coriandersill.core.GenerationId;
+import coriandersill.wire.Message;
+import coriandersill.wire.WireConnection;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** One call from its dispatch to its end; safe for use by many threads. */
+final class OpenCall {
+    /** Where a call stands. */
+    enum Stage {
+        /** It waits for room. */
+        WAITING,
+        /** It is at the upstream. */
+        RUNNING,
+        /** It has ended and was answered. */
+        ENDED
+    }
+
+    private final Message.Dispatch dispatch;
+    private final long receivedNanos;
+    private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
+    private final AtomicInteger newTokens = new AtomicInteger();
+    private volatile WireConnection connection;
+    private volatile UpstreamRun run;
+
+    OpenCall(Message.Dispatch dispatch, WireConnection connection, long receivedNanos) {
+        this.dispatch = dispatch;
+        this.connection = connection;
+        this.receivedNanos = receivedNanos;
+    }
+
+    GenerationId id() {
+        return dispatch.call().id();
+    }
+
+    Message.CallAttempt attempt() {
+        return dispatch.call();
+    }
+
+    Message.Dispatch dispatch() {
+        return dispatch;
+    }
+
+    long receivedNanos() {
+        return receivedNanos;
+    }
+
+    Stage stage() {
+        return stage.get();
+    }
+
+    boolean cameOver(WireConnection other) {
+        return connection.equals(other);
+    }
+
+    boolean send(Message message) {
+        return connection.send(message);
+    }
+
+    /** Moves on to another connection of the same entry. */
+    void moveTo(WireConnection other) {
+        connection = other;
+    }
+
+    WireConnection connection() {
+        return connection;
+    }
+
+    /** Goes from waiting to running; returns false when the call has ended. */
+    boolean begin() {
+        return stage.compareAndSet(Stage.WAITING, Stage.RUNNING);
+    }
+
+    /** Ends the call; returns the stage it was in, or nothing when it had ended before. */
+    Optional<Stage> end() {
+        Stage before = stage.getAndSet(Stage.ENDED);
+        return before == Stage.ENDED ? Optional.empty() : Optional.of(before);
+    }
+
+    void running(UpstreamRun other) {
+        run = other;
+    }
+
+    Optional<UpstreamRun> run() {
+        return Optional.ofNullable(run);
+    }
+
+    void countToken() {
+        newTokens.incrementAndGet();
+    }
+
+    /** Takes the tokens counted since the last time. */
+    int takeNewTokens() {
+        return newTokens.getAndSet(0);
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
@@ -0,0 +1,72 @@
+package coriandersill.sidecar.internal;
+
+import coriandersill.core.ManagedService;
+import coriandersill.sidecar.SidecarSettings;
+import coriandersill.wire.Message;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** The HTTP client of one upstream. */
+public final class UpstreamClient implements ManagedService {
+    private static final int MOST_CONNECTIONS = 4_096;
+
+    private final HttpClient client;
+    private final SidecarSettings settings;
+
+    private UpstreamClient(HttpClient client, SidecarSettings settings) {
+        this.client = client;
+        this.settings = settings;
+    }
+
+    /** Returns a client of the upstream that the settings name. */
+    public static UpstreamClient create(Vertx vertx, SidecarSettings settings) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setKeepAlive(true)
+                .setReadIdleTimeout((int) settings.upstreamTimeout().toMillis())
+                .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
+                .setConnectTimeout(2_000);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS).setMaxWaitQueueSize(MOST_CONNECTIONS);
+        return new UpstreamClient(vertx.createHttpClient(options, pool), settings);
+    }
+
+    /** Opens the request of a dispatch; a failure means that no byte of it left. */
+    Future<HttpClientRequest> open(Message.Dispatch dispatch) {
+        RequestOptions options = new RequestOptions()
+                .setHost(settings.upstreamHost())
+                .setPort(settings.upstreamPort())
+                .setMethod(HttpMethod.valueOf(dispatch.work().method()))
+                .setURI(dispatch.work().path());
+        return client.request(options).map(request -> withHeaders(request, dispatch));
+    }
+
+    /** Sends the body and ends the request. */
+    static void send(HttpClientRequest request, Message.Dispatch dispatch) {
+        request.end(Buffer.buffer(dispatch.work().body()));
+    }
+
+    private static HttpClientRequest withHeaders(HttpClientRequest request, Message.Dispatch dispatch) {
+        dispatch.work().headers().forEach(header -> request.putHeader(header.name(), header.value()));
+        request.putHeader("X-Request-Id", dispatch.call().id().toString());
+        return request;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        return client.close().toCompletionStage().toCompletableFuture();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The parts of the sidecar; not for use by callers. */
+package coriandersill.sidecar.internal;
--- /dev/null
+++ b/wire/src/main/java/coriandersill/wire/internal/Channels.java
@@ -0,0 +1,90 @@
+package coriandersill.wire.internal;
+
+import coriandersill.wire.WireListener;
+import coriandersill.wire.WireSettings;
+import coriandersill.wire.proto.Frames;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLException;
+
+/** Builds the pipelines of wire connections. */
+public final class Channels {
+    private static final int LENGTH_FIELD_BYTES = 4;
+
+    private Channels() {}
+
+    /** Returns the pipeline of accepted connections. */
+    public static ChannelInitializer<SocketChannel> accepting(WireSettings settings, WireListener listener) {
+        return new Initializer(settings, listener, serverTls(settings));
+    }
+
+    /** Returns the pipeline of opened connections. */
+    public static ChannelInitializer<SocketChannel> connecting(WireSettings settings, WireListener listener) {
+        return new Initializer(settings, listener, clientTls(settings));
+    }
+
+    private static Optional<SslContext> serverTls(WireSettings settings) {
+        return settings.tls().map(tls -> {
+            try {
+                return SslContextBuilder.forServer(tls.certificateChain(), tls.privateKey())
+                        .trustManager(tls.trusted())
+                        .clientAuth(ClientAuth.REQUIRE)
+                        .build();
+            } catch (SSLException e) {
+                throw new IllegalArgumentException("wire.tls: expected readable PEM files, found " + e.getMessage(), e);
+            }
+        });
+    }
+
+    private static Optional<SslContext> clientTls(WireSettings settings) {
+        return settings.tls().map(tls -> {
+            try {
+                return SslContextBuilder.forClient()
+                        .keyManager(tls.certificateChain(), tls.privateKey())
+                        .trustManager(tls.trusted())
+                        .endpointIdentificationAlgorithm(null)
+                        .build();
+            } catch (SSLException e) {
+                throw new IllegalArgumentException("wire.tls: expected readable PEM files, found " + e.getMessage(), e);
+            }
+        });
+    }
+
+    private static final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final WireSettings settings;
+        private final WireListener listener;
+        private final Optional<SslContext> tls;
+
+        Initializer(WireSettings settings, WireListener listener, Optional<SslContext> tls) {
+            this.settings = settings;
+            this.listener = listener;
+            this.tls = tls;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            ChannelPipeline pipeline = channel.pipeline();
+            tls.ifPresent(context -> pipeline.addLast(context.newHandler(channel.alloc())));
+            pipeline.addLast(new IdleStateHandler(settings.silenceLimit().toMillis(), 0, 0, TimeUnit.MILLISECONDS));
+            pipeline.addLast(new FlushConsolidationHandler(64, true));
+            pipeline.addLast(new LengthFieldBasedFrameDecoder(
+                    settings.maxFrameBytes(), 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES));
+            pipeline.addLast(new ProtobufDecoder(Frames.Frame.getDefaultInstance()));
+            pipeline.addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
+            pipeline.addLast(new ProtobufEncoder());
+            pipeline.addLast(new ConnectionHandler(settings, listener));
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/coriandersill/wire/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The Netty pipeline and the protobuf codec; not for use by callers. */
+package coriandersill.wire.internal;
