--- /dev/null
+++ b/idempotency/src/test/java/coriandersill/idempotency/DispatchGateTest.java
@@ -0,0 +1,109 @@
+package coriandersill.idempotency;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.GenerationId;
+import coriandersill.core.ManualClock;
+import coriandersill.core.Ran;
+import coriandersill.core.WorkspaceName;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS O2, O3, O5 and O7 at the sidecar's gate. */
+final class DispatchGateTest {
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+
+    private final RandomGenerator random = new Random(1);
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final DispatchGate gate = DispatchGate.of(clock, random, LIMIT, 2);
+    private final ClaimKey key = ClaimKey.of(WorkspaceName.of("criers"), IdempotencyKey.draw(Instant.EPOCH, random));
+
+    @Test
+    void aTokenIsLetInOnce() {
+        assertThat(refusal(dispatch(10, 1)), is("let in"));
+        assertThat(refusal(dispatch(10, 2)), containsString("handed on before"));
+    }
+
+    @Test
+    void aDispatchWhoseEntryPausedAfterTheCheckIsRefusedAsNotRun() {
+        ClaimHold hold = new ClaimHold(key, 10, call(10), Duration.ofSeconds(30).toNanos());
+        Dispatch late = hold.dispatch(gate.stamp(), 1, clock);
+        clock.advance(LIMIT.plusMillis(1));
+        CallFailure failure = gate.admit(late).orElseThrow();
+        assertThat(failure.kind(), is(ErrorKind.FENCED));
+        assertThat(failure.ran(), is(Ran.NO));
+    }
+
+    @Test
+    void aHolderThatPausedBeforeTheCheckSendsNothing() {
+        ClaimHold hold = new ClaimHold(key, 10, call(10), Duration.ofSeconds(30).toNanos());
+        clock.advance(Duration.ofSeconds(30));
+        GateStamp fresh = gate.stamp();
+        assertThat(
+                assertThrows(CallFailure.class, () -> hold.dispatch(fresh, 1, clock))
+                        .kind(),
+                is(ErrorKind.DEADLINE_EXCEEDED));
+    }
+
+    @Test
+    void aRestartedGateLetsInNothingThatWasStampedBefore() {
+        Dispatch before = dispatch(10, 1);
+        DispatchGate restarted = DispatchGate.of(clock, random, LIMIT, 2);
+        assertThat(restarted.admit(before).orElseThrow().getMessage(), containsString("before this sidecar started"));
+    }
+
+    @Test
+    void anAttemptGivenUpIsNotHandedOnWhenItComesLate() {
+        Dispatch crossing = dispatch(10, 1);
+        assertThat(gate.giveUp(10, call(10), 1), is(DispatchGate.GiveUp.NOT_RUN));
+        assertThat(refusal(crossing), containsString("given up"));
+        assertThat(refusal(dispatch(10, 2)), is("let in"));
+        assertThat(gate.giveUp(10, call(10), 2), is(DispatchGate.GiveUp.HANDED_ON));
+    }
+
+    @Test
+    void anAttemptStaysGivenUpUntilItsStampIsTooOld() {
+        Dispatch crossing = dispatch(10, 1);
+        gate.giveUp(10, call(10), 1);
+        for (int second = 0; second < 12; second++) {
+            clock.advance(Duration.ofSeconds(1));
+            gate.giveUp(100 + second, call(100 + second), 1);
+            assertThat(refusal(crossing), is(second < 5 ? "attempt 1 was given up by its entry" : tooOld(second + 1)));
+        }
+    }
+
+    @Test
+    void aForgottenTokenIsRefusedWithEveryLowerOne() {
+        for (long token : new long[] {10, 12, 14}) {
+            assertThat(refusal(dispatch(token, 1)), is("let in"));
+        }
+        assertThat(refusal(dispatch(10, 2)), containsString("handed on before"));
+        assertThat(refusal(dispatch(9, 1)), containsString("handed on before"));
+        assertThat(gate.giveUp(10, call(10), 1), is(DispatchGate.GiveUp.HANDED_ON));
+        assertThat(refusal(dispatch(11, 1)), is("let in"));
+    }
+
+    private static String tooOld(int seconds) {
+        return "the dispatch's stamp is " + seconds * 1000 + " ms old, more than 5000";
+    }
+
+    private String refusal(Dispatch dispatch) {
+        return gate.admit(dispatch).map(CallFailure::getMessage).orElse("let in");
+    }
+
+    private Dispatch dispatch(long token, int attempt) {
+        return new Dispatch(key, token, call(token), attempt, gate.stamp());
+    }
+
+    private static GenerationId call(long token) {
+        return new GenerationId(0, token);
+    }
+}
--- /dev/null
+++ b/idempotency/src/test/java/coriandersill/idempotency/IdempotencyTableTest.java
@@ -0,0 +1,190 @@
+package coriandersill.idempotency;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import coriandersill.core.ErrorKind;
+import coriandersill.core.GenerationId;
+import coriandersill.core.InstanceId;
+import coriandersill.core.Ran;
+import coriandersill.core.RouteName;
+import coriandersill.core.ServiceName;
+import coriandersill.core.WorkspaceName;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS O4, O5, O6, O9 and O10 at the table of claims. */
+final class IdempotencyTableTest {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Duration LIFETIME = Duration.ofSeconds(30);
+    private static final Fingerprint DEPOSIT = fingerprint("{\"amount\":5}");
+    private static final Fingerprint OTHER = fingerprint("{\"amount\":6}");
+    private static final Outcome PAID = Outcome.of(201, "text/plain", new byte[] {1}, 10);
+
+    private final RandomGenerator random = new Random(1);
+    private final IdempotencyTable table = table(1000, START.minus(Duration.ofHours(25)));
+    private final ClaimKey key = key("criers", START);
+    private long offset = 100;
+
+    @Test
+    void theFirstClaimInTheLogsOrderWinsAndTheLoserHearsInProgress() {
+        ClaimEffect first = table.apply(offset++, START, claim(key, DEPOSIT));
+        ClaimEffect second = table.apply(offset++, START, claim(key, DEPOSIT));
+        assertThat(((ClaimEffect.Won) first).token(), is(100L));
+        assertThat(((ClaimEffect.Lost) second).state(), is(new KeyState.InProgress()));
+    }
+
+    @Test
+    void aRepeatGetsTheFirstOutcomeOnceItIsKnown() {
+        table.apply(offset++, START, claim(key, DEPOSIT));
+        table.apply(offset++, START, new ClaimRecord.Completed(key, 100, PAID));
+        assertThat(find(key, DEPOSIT), is(new KeyState.Done(PAID)));
+    }
+
+    @Test
+    void aClaimIsNeverTakenOverHoweverLongItsHolderIsGone() {
+        table.apply(offset++, START, claim(key, DEPOSIT));
+        Instant later = START.plus(Duration.ofHours(3));
+        ClaimEffect again = table.apply(offset++, later, claim(key, DEPOSIT));
+        assertThat(((ClaimEffect.Lost) again).state(), is(new KeyState.Unknown()));
+        table.apply(offset++, later, new ClaimRecord.Completed(key, 100, PAID));
+        assertThat("a late outcome is still taken", find(key, DEPOSIT), is(new KeyState.Done(PAID)));
+    }
+
+    @Test
+    void onlyTheTokenInForceReleasesOrCompletesAClaim() {
+        table.apply(offset++, START, claim(key, DEPOSIT));
+        table.apply(offset++, START, new ClaimRecord.Released(key, 99));
+        assertThat(find(key, DEPOSIT), is(new KeyState.InProgress()));
+        table.apply(offset++, START, new ClaimRecord.Released(key, 100));
+        assertThat(find(key, DEPOSIT), is(new KeyState.Unclaimed()));
+        ClaimEffect next = table.apply(offset++, START, claim(key, DEPOSIT));
+        table.apply(offset++, START, new ClaimRecord.Completed(key, 100, PAID));
+        assertThat(next, instanceOf(ClaimEffect.Won.class));
+        assertThat("the released token's outcome is not taken", find(key, DEPOSIT), is(new KeyState.InProgress()));
+    }
+
+    @Test
+    void anOffsetThatComesAgainChangesNothing() {
+        table.apply(offset, START, claim(key, DEPOSIT));
+        assertThat(table.apply(offset, START, claim(key, DEPOSIT)), is(new ClaimEffect.Ignored()));
+    }
+
+    @Test
+    void aKeyThatComesWithAnotherBodyIsRefusedEvenAfterARelease() {
+        table.apply(offset++, START, claim(key, DEPOSIT));
+        assertThat(refusal(find(key, OTHER)), is(ErrorKind.IDEMPOTENCY_KEY_REUSED));
+        table.apply(offset++, START, new ClaimRecord.Released(key, 100));
+        assertThat(refusal(find(key, OTHER)), is(ErrorKind.IDEMPOTENCY_KEY_REUSED));
+    }
+
+    @Test
+    void aWorkspaceNeverMeetsTheOutcomeOfAnothersEqualKey() {
+        table.apply(offset++, START, claim(key, DEPOSIT));
+        table.apply(offset++, START, new ClaimRecord.Completed(key, 100, PAID));
+        ClaimKey rival = ClaimKey.of(WorkspaceName.of("rival"), key.key());
+        assertThat(find(rival, DEPOSIT), is(new KeyState.Unclaimed()));
+        assertThat(table.apply(offset++, START, claim(rival, OTHER)), instanceOf(ClaimEffect.Won.class));
+    }
+
+    @Test
+    void aKeyOutsideTheWindowIsRefusedByTheLogsClockAndNotCalledNotRun() {
+        Instant past = START.plus(Duration.ofHours(24)).plusMillis(1);
+        KeyState state = ((ClaimEffect.Lost) table.apply(offset++, past, claim(key, DEPOSIT))).state();
+        assertThat(refusal(state), is(ErrorKind.IDEMPOTENCY_KEY_EXPIRED));
+        assertThat(((KeyState.Refused) state).failure().ran(), is(Ran.UNKNOWN));
+        ClaimKey ahead = key("criers", past.plus(Duration.ofMinutes(6)));
+        KeyState early = ((ClaimEffect.Lost) table.apply(offset++, past, claim(ahead, DEPOSIT))).state();
+        assertThat(refusal(early), is(ErrorKind.INVALID_REQUEST));
+    }
+
+    @Test
+    void keysAreForgottenOnlyWhenEveryLaterClaimOfThemIsRefused() {
+        table.apply(offset++, START, claim(key, DEPOSIT));
+        Instant edge = START.plus(Duration.ofHours(24));
+        table.apply(offset++, edge, claim(key("criers", edge), DEPOSIT));
+        assertThat(table.size(), is(2));
+        Instant past = edge.plus(Duration.ofHours(2));
+        table.apply(offset++, past, claim(key("criers", past), DEPOSIT));
+        assertThat(table.size(), is(2));
+        assertThat(refusal(find(key, DEPOSIT)), is(ErrorKind.IDEMPOTENCY_KEY_EXPIRED));
+    }
+
+    @Test
+    void aNewcomerRefusesKeysThatMayHaveBeenClaimedBeforeWhatItHasRead() {
+        IdempotencyTable newcomer = table(1000, START);
+        ClaimKey before = key("criers", START.plus(Duration.ofMinutes(4)));
+        assertThat(refusal(newcomer.find(before, DEPOSIT, START)), is(ErrorKind.UNAVAILABLE));
+        assertThat(newcomer.apply(7, START, claim(before, DEPOSIT)), instanceOf(ClaimEffect.Undecided.class));
+        ClaimKey after = key("criers", START.plus(Duration.ofMinutes(5)));
+        assertThat(newcomer.apply(8, START, claim(after, DEPOSIT)), instanceOf(ClaimEffect.Won.class));
+    }
+
+    @Test
+    void aFullTableRefusesNewKeysAndDecidesNoneThatItCouldNotRemember() {
+        IdempotencyTable small = table(1, Instant.MIN);
+        small.apply(1, START, claim(key, DEPOSIT));
+        ClaimKey second = key("criers", START.plusSeconds(1));
+        assertThat(refusal(small.find(second, DEPOSIT, START)), is(ErrorKind.OVERLOADED));
+        assertThat(small.apply(2, START, claim(second, DEPOSIT)), instanceOf(ClaimEffect.Undecided.class));
+        assertThat(refusal(small.find(second, DEPOSIT, START)), is(ErrorKind.UNAVAILABLE));
+        assertThat("what it remembers stays known", small.find(key, DEPOSIT, START), is(new KeyState.InProgress()));
+    }
+
+    @Test
+    void oldBodiesMakeRoomButTheirStatusStays() {
+        IdempotencyTable tight = IdempotencyTable.of(KeyWindow.day(), 100, 300);
+        tight.provenFrom(Instant.MIN);
+        ClaimKey[] keys = {key("a", START), key("b", START)};
+        for (int i = 0; i < 2; i++) {
+            long claimed = 10L * i;
+            tight.apply(claimed, START, claim(keys[i], DEPOSIT));
+            tight.apply(claimed + 1, START, new ClaimRecord.Completed(keys[i], claimed, PAID));
+        }
+        assertThat(tight.find(keys[0], DEPOSIT, START), is(new KeyState.Done(Outcome.withoutBody(201))));
+        assertThat(tight.find(keys[1], DEPOSIT, START), is(new KeyState.Done(PAID)));
+    }
+
+    @Test
+    void onlyUuidsOfVersionSevenAreKeys() {
+        for (String text : new String[] {null, "", "x", "6ec0bd7f-11c0-43da-975e-2a8ad9ebae0b", "1-2-3-4-5"}) {
+            assertThrows(IllegalArgumentException.class, () -> IdempotencyKey.parse(text), text);
+        }
+        assertThat(IdempotencyKey.parse(key.key().toString()), is(key.key()));
+        assertThat(key.key().time(), is(START));
+    }
+
+    private KeyState find(ClaimKey wanted, Fingerprint fingerprint) {
+        return table.find(wanted, fingerprint, START);
+    }
+
+    private static ErrorKind refusal(KeyState state) {
+        return ((KeyState.Refused) state).failure().kind();
+    }
+
+    private ClaimKey key(String workspace, Instant time) {
+        return ClaimKey.of(WorkspaceName.of(workspace), IdempotencyKey.draw(time, random));
+    }
+
+    private ClaimRecord.Claimed claim(ClaimKey claimed, Fingerprint fingerprint) {
+        GenerationId call = GenerationId.random(random);
+        return new ClaimRecord.Claimed(claimed, fingerprint, call, InstanceId.of("entry-1"), 1, LIFETIME);
+    }
+
+    private static IdempotencyTable table(int maxKeys, Instant provenFrom) {
+        IdempotencyTable table = IdempotencyTable.of(KeyWindow.day(), maxKeys, 1000);
+        table.provenFrom(provenFrom);
+        return table;
+    }
+
+    private static Fingerprint fingerprint(String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return Fingerprint.of(ServiceName.of("ledger"), RouteName.of("deposit"), "POST", "/deposits", bytes);
+    }
+}
