--- /dev/null
+++ b/membership/src/test/java/coriandersill/membership/MembershipTableTest.java
@@ -0,0 +1,148 @@
+package coriandersill.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.InstanceId;
+import coriandersill.core.ManualClock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS R10 and R4. */
+final class MembershipTableTest {
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final MembershipTable table = MembershipTable.of(MembershipSettings.standard(), clock);
+
+    @Test
+    void onlyAConnectionWithFreshHeartbeatsMakesAnInstanceLive() {
+        table.listed(list(1, 2));
+        assertThat(table.state(id(1)), is(MemberState.JOINING));
+        table.connected(member(1), 5);
+        assertThat(table.state(id(1)), is(MemberState.LIVE));
+        clock.advance(Duration.ofMillis(3001));
+        table.tick();
+        assertThat(table.state(id(1)), is(MemberState.SUSPECT));
+        table.heard(id(1), 5);
+        assertThat(table.state(id(1)), is(MemberState.LIVE));
+        table.disconnected(id(1), 5);
+        assertThat(table.state(id(1)), is(MemberState.SUSPECT));
+    }
+
+    @Test
+    void anEmptyListIsNeverReadAsAllLeft() {
+        table.listed(list(1, 2, 3));
+        table.connected(member(1), 5);
+        for (int reading = 0; reading < 20; reading++) {
+            assertThat(table.listed(List.of()).doubt(), containsString("the list is empty"));
+        }
+        assertThat(table.state(id(1)), is(MemberState.LIVE));
+        assertThat(table.connectable(Role.SIDECAR).size(), is(3));
+    }
+
+    @Test
+    void aListThatLosesHalfAtOnceIsFollowedOnlyWhenSeveralReadingsAgree() {
+        table.listed(list(1, 2, 3, 4));
+        table.connected(member(1), 5);
+        for (int reading = 0; reading < 4; reading++) {
+            assertThat(table.listed(list(3, 4)).followed(), is(false));
+            assertThat(table.state(id(2)), is(MemberState.JOINING));
+        }
+        table.listed(list(3, 4));
+        assertThat(table.state(id(2)), is(MemberState.GONE));
+        assertThat("a connection outweighs the list", table.state(id(1)), is(MemberState.LIVE));
+    }
+
+    @Test
+    void oneInstanceThatLeavesTheListIsGoneAtOnceUnlessConnected() {
+        table.listed(list(1, 2, 3, 4));
+        table.connected(member(2), 5);
+        assertThat(table.listed(list(3, 4, 2)).followed(), is(true));
+        assertThat(table.state(id(1)), is(MemberState.GONE));
+        table.listed(list(3, 4));
+        assertThat(table.state(id(2)), is(MemberState.LIVE));
+        table.disconnected(id(2), 5);
+        assertThat(table.state(id(2)), is(MemberState.GONE));
+    }
+
+    @Test
+    void aDrainIsImmediateAndLastsForTheIncarnation() {
+        table.listed(list(1));
+        table.connected(member(1), 5);
+        List<MemberChange> changes = table.draining(id(1), 5);
+        assertThat(changes, is(List.of(new MemberChange(member(1), MemberState.LIVE, MemberState.DRAINING))));
+        table.heard(id(1), 5);
+        table.disconnected(id(1), 5);
+        table.connected(member(1), 5);
+        table.listed(list(1));
+        assertThat(table.state(id(1)), is(MemberState.DRAINING));
+        table.connected(member(1), 6);
+        assertThat(table.state(id(1)), is(MemberState.LIVE));
+        table.draining(id(1), 5);
+        table.disconnected(id(1), 5);
+        assertThat("a replaced incarnation changes nothing", table.state(id(1)), is(MemberState.LIVE));
+    }
+
+    @Test
+    void aListThatFlapsBetweenLeavingAndStayingKeepsTheInstanceDraining() {
+        table.connected(member(1), 5);
+        for (int reading = 0; reading < 12; reading++) {
+            table.listed(List.of(new Listing(member(1), reading % 2 == 0)));
+            assertThat(table.state(id(1)), is(MemberState.DRAINING));
+        }
+        for (int reading = 0; reading < 5; reading++) {
+            table.listed(list(1));
+        }
+        assertThat(table.state(id(1)), is(MemberState.LIVE));
+    }
+
+    @Test
+    void ofTwoSidecarsOnlyTheNewerAdmitsAndTheSumStaysWithinTheLimit() {
+        SidecarSuccession older = SidecarSuccession.of(1, clock, Duration.ofSeconds(2));
+        SidecarSuccession newer = SidecarSuccession.of(2, clock, Duration.ofSeconds(2));
+        assertThat("it listens first", newer.limit(4), is(0));
+        older.alone();
+        assertThat(older.limit(4), is(4));
+        newer.observed(1, false, 3);
+        clock.advance(Duration.ofSeconds(3));
+        assertThat("the older one still admits", newer.limit(4), is(0));
+        older.observed(2, false, 0);
+        assertThat(older.limit(4), is(0));
+        newer.observed(1, true, 3);
+        assertThat(newer.limit(4), is(1));
+        newer.observed(1, false, 4);
+        assertThat("late news of the older one adds nothing", newer.limit(4), is(1));
+        newer.gone(1);
+        assertThat(newer.limit(4), is(4));
+        assertThat(older.superseded(), is(true));
+    }
+
+    @Test
+    void aSidecarThatHearsNothingStartsAfterTheListeningTime() {
+        SidecarSuccession first = SidecarSuccession.of(1, clock, Duration.ofSeconds(2));
+        clock.advance(Duration.ofSeconds(2));
+        assertThat(first.limit(4), is(4));
+    }
+
+    private static List<Listing> list(int... numbers) {
+        List<Listing> list = new ArrayList<>();
+        for (int number : numbers) {
+            list.add(new Listing(member(number), false));
+        }
+        return list;
+    }
+
+    private static InstanceId id(int number) {
+        return InstanceId.of("sidecar-" + number);
+    }
+
+    private static Member member(int number) {
+        AvailabilityZone zone = AvailabilityZone.of("shewa-a");
+        return new Member(id(number), Role.SIDECAR, zone, "127.0.0.1", number, Optional.empty(), Optional.empty());
+    }
+}
