--- /dev/null
+++ b/admission/src/main/java/coriandersill/admission/ColdStartLimit.java
@@ -0,0 +1,84 @@
+package coriandersill.admission;
+
+/**
+ * The concurrency that an upstream has shown to bear since it was last cold.
+ *
+ * <p>It starts at the cold limit, grows by half after as many proofs as it is large, and falls back to the cold limit
+ * at once when calls are slow without exception. A proof is a healthy first token, or a healthy answer of a plain call,
+ * that began with at least half of the limit in use.
+ *
+ * <p>Not safe for use by many threads; the holder's lock guards it.
+ */
+public final class ColdStartLimit {
+    private static final double GROWTH = 1.5;
+    /** Slow signs without a healthy one between them that show an upstream cold, as a multiple of running calls. */
+    private static final int SLOW_ROUNDS = 2;
+
+    private static final int MIN_SLOW_SIGNS = 3;
+
+    private final int coldConcurrency;
+    private final int maxConcurrency;
+    private int limit;
+    private int proofs;
+    private int slowSigns;
+
+    private ColdStartLimit(int coldConcurrency, int maxConcurrency) {
+        this.coldConcurrency = coldConcurrency;
+        this.maxConcurrency = maxConcurrency;
+        this.limit = coldConcurrency;
+    }
+
+    /** Returns a limit for a cold upstream; {@code 1 <= coldConcurrency <= maxConcurrency}. */
+    public static ColdStartLimit of(int coldConcurrency, int maxConcurrency) {
+        if (coldConcurrency < 1 || maxConcurrency < coldConcurrency) {
+            throw new IllegalArgumentException(
+                    "cold start limit: expected 1 <= coldConcurrency <= maxConcurrency, found " + coldConcurrency
+                            + " and " + maxConcurrency);
+        }
+        return new ColdStartLimit(coldConcurrency, maxConcurrency);
+    }
+
+    /** The calls that may run together now. */
+    public int limit() {
+        return limit;
+    }
+
+    /** Whether the limit is still below the warm one. */
+    public boolean cold() {
+        return limit < maxConcurrency;
+    }
+
+    /** Notes a healthy start of a call that began when {@code running} calls ran, itself included. */
+    public void proven(int running) {
+        slowSigns = 0;
+        if (2 * running < limit || !cold()) {
+            return;
+        }
+        proofs++;
+        if (proofs >= limit) {
+            limit = Math.min(maxConcurrency, (int) Math.ceil(limit * GROWTH));
+            proofs = 0;
+        }
+    }
+
+    /** Notes healthy progress, which proves nothing about a higher limit. */
+    public void healthy() {
+        slowSigns = 0;
+    }
+
+    /** Notes a call that is as slow as on a cold upstream, while {@code running} calls run. */
+    public void slow(int running) {
+        slowSigns++;
+        proofs = 0;
+        if (slowSigns >= Math.max(MIN_SLOW_SIGNS, SLOW_ROUNDS * running)) {
+            reset();
+        }
+    }
+
+    /** Falls back to the cold limit: the upstream is known to be cold. */
+    public void reset() {
+        limit = coldConcurrency;
+        proofs = 0;
+        slowSigns = 0;
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/coriandersill/admission/RemainingLength.java
@@ -0,0 +1,23 @@
+package coriandersill.admission;
+
+/** The distribution of the tokens that a generation is still to produce. */
+public interface RemainingLength {
+
+    /** Returns the probability that the generation produces more than {@code more} further tokens. */
+    double survival(int more);
+
+    /** Returns the smallest number of further tokens that is enough with probability {@code probability}. */
+    default int quantile(double probability) {
+        int low = 0;
+        int high = LengthBuckets.LIMIT_TOKENS;
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (survival(middle) <= 1 - probability) {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        return low;
+    }
+}
