--- a/admission/src/main/java/coriandersill/admission/ColdStartLimit.java
+++ b/admission/src/main/java/coriandersill/admission/ColdStartLimit.java
@@ -3,18 +3,19 @@
 /**
  * The concurrency that an upstream has shown to bear since it was last cold.
  *
- * <p>It starts at the cold limit, grows by half after as many proofs as it is large, and falls back to the cold limit
- * at once when calls are slow without exception. A proof is a healthy first token, or a healthy answer of a plain call,
- * that began with at least half of the limit in use.
+ * <p>It starts at the cold limit, grows by half after eight proofs for each call that it allows, and falls back to the
+ * cold limit at once when calls are slow without exception. A proof is progress as fast as a warm upstream's while at
+ * least half of the limit is in use; the holder judges what that is.
  *
  * <p>Not safe for use by many threads; the holder's lock guards it.
  */
 public final class ColdStartLimit {
     private static final double GROWTH = 1.5;
+    private static final int PROOFS_PER_CALL = 8;
     /** Slow signs without a healthy one between them that show an upstream cold, as a multiple of running calls. */
-    private static final int SLOW_ROUNDS = 2;
+    private static final int SLOW_ROUNDS = 4;
 
-    private static final int MIN_SLOW_SIGNS = 3;
+    private static final int MIN_SLOW_SIGNS = 4;
 
     private final int coldConcurrency;
     private final int maxConcurrency;
@@ -43,19 +44,24 @@
         return limit;
     }
 
+    /** Whether the limit has not grown since the upstream was last cold. */
+    public boolean unproven() {
+        return limit == coldConcurrency;
+    }
+
     /** Whether the limit is still below the warm one. */
     public boolean cold() {
         return limit < maxConcurrency;
     }
 
-    /** Notes a healthy start of a call that began when {@code running} calls ran, itself included. */
+    /** Notes progress as fast as a warm upstream's while {@code running} calls run. */
     public void proven(int running) {
         slowSigns = 0;
         if (2 * running < limit || !cold()) {
             return;
         }
         proofs++;
-        if (proofs >= limit) {
+        if (proofs >= PROOFS_PER_CALL * limit) {
             limit = Math.min(maxConcurrency, (int) Math.ceil(limit * GROWTH));
             proofs = 0;
         }
--- a/admission/src/main/java/coriandersill/admission/EngineHealth.java
+++ b/admission/src/main/java/coriandersill/admission/EngineHealth.java
@@ -9,6 +9,11 @@
     private final ColdStartLimit coldStart;
     private final ConcurrencyCeiling ceiling;
     private final UsableMemory memory;
+    private final BaselineGap baseline = new BaselineGap();
+    /** When the upstream was first seen to work since it was last cold; of no use unless {@code known}. */
+    private long coldSinceNanos;
+
+    private boolean known;
 
     EngineHealth(AdmissionSettings settings, ConcurrencyCeiling ceiling, long nowNanos) {
         this.settings = settings;
@@ -35,30 +40,74 @@
         }
     }
 
-    /** Notes that a call's first token, or a plain call's answer, took {@code elapsedNanos}. */
-    void answered(Running call, long elapsedNanos, int running) {
-        if (elapsedNanos <= settings.firstTokenNanos()) {
-            coldStart.proven(call.runningThen);
-        } else if (elapsedNanos > settings.slowFirstTokenNanos() && !call.overdue) {
+    /** Notes that a call's first token took {@code elapsedNanos}. */
+    void started(Running call, long elapsedNanos, int running) {
+        if (elapsedNanos > settings.slowFirstTokenNanos() && !call.overdue) {
             coldStart.slow(running);
         }
     }
 
-    void gap(long nowNanos, long gapNanos, int running) {
+    /** Notes that a plain call was answered after {@code elapsedNanos}. */
+    void answered(Running call, long elapsedNanos, long nowNanos, int running) {
+        if (elapsedNanos > settings.slowFirstTokenNanos()) {
+            started(call, elapsedNanos, running);
+        } else if (warm(elapsedNanos, settings.warmAnswerNanos(), settings.firstTokenNanos(), nowNanos)) {
+            coldStart.proven(running);
+        } else {
+            coldStart.healthy();
+        }
+    }
+
+    /**
+     * Notes the time between two tokens of a call.
+     *
+     * @param decodeOnly whether no prompt was being computed meanwhile
+     */
+    void gap(long nowNanos, long gapNanos, int running, boolean decodeOnly) {
         ceiling.gap(nowNanos, gapNanos, running);
-        if (gapNanos > settings.slowGapNanos()) {
-            coldStart.slow(running);
+        if (gapNanos > settings.slowGapNanos() || (decodeOnly && baseline.slow(running, gapNanos))) {
+            slow(running);
+            return;
+        }
+        if (decodeOnly) {
+            baseline.learn(running, gapNanos);
+        }
+        boolean unproven = coldStart.unproven();
+        if (warm(gapNanos, settings.warmGapNanos(), settings.gapNanos(), nowNanos)) {
+            coldStart.proven(running);
         } else {
             coldStart.healthy();
         }
+        if (unproven && !coldStart.unproven()) {
+            baseline.forget();
+        }
     }
 
     /** Notes a call that failed, or whose first token is overdue. */
     void slow(int running) {
+        boolean unproven = coldStart.unproven();
         coldStart.slow(running);
+        if (!unproven && coldStart.unproven()) {
+            known = false;
+        }
     }
 
+    /** Falls back to the cold limit. */
     void knownCold() {
         coldStart.reset();
+        known = false;
+    }
+
+    /**
+     * Whether a time shows a warm engine: at the cold limit it is as short as {@code warmNanos}, or the engine has had
+     * long enough to warm up and keeps to its target; above it, it keeps to its target.
+     */
+    private boolean warm(long nanos, long warmNanos, long targetNanos, long nowNanos) {
+        if (!known) {
+            known = true;
+            coldSinceNanos = nowNanos;
+        }
+        boolean longEnough = nowNanos - coldSinceNanos >= settings.warmUpNanos();
+        return nanos <= (coldStart.unproven() && !longEnough ? warmNanos : targetNanos);
     }
 }
--- a/admission/src/main/java/coriandersill/admission/PredictiveAdmission.java
+++ b/admission/src/main/java/coriandersill/admission/PredictiveAdmission.java
@@ -45,6 +45,13 @@
     /** Decisions on waiting requests that the caller has not been told of. */
     private final List<AdmissionDecision> pending = new ArrayList<>();
 
+    /**
+     * The last token, end or admission: longer ago than a slow first token, with calls running, shows a cold engine.
+     */
+    private long lastProgressNanos;
+    /** The last time at which a prompt was being computed. */
+    private long lastPrefillNanos;
+
     private boolean draining;
     private int predecessorRunning;
 
@@ -54,6 +61,7 @@
         this.victims = builder.victims;
         this.health = new EngineHealth(settings, builder.ceiling(), clock.nanos());
         ServiceCost cost = new ServiceCost(settings.memoryTokens(), settings.maxConcurrency());
+        this.lastPrefillNanos = clock.nanos();
         this.running = new RunningSet(builder.estimator, cost);
     }
 
@@ -89,13 +97,18 @@
             }
             long now = clock.nanos();
             long elapsed = now - call.lastTokenNanos;
+            if (running.prefillTokens() > 0) {
+                lastPrefillNanos = now;
+            }
             if (call.generated == 0) {
                 running.started(call);
-                health.answered(call, elapsed, running.size());
+                health.started(call, elapsed, running.size());
             } else {
-                health.gap(now, elapsed / tokens, running.size());
+                boolean decodeOnly = call.lastTokenNanos - lastPrefillNanos > 0;
+                health.gap(now, elapsed / tokens, running.size(), decodeOnly);
             }
             call.lastTokenNanos = now;
+            lastProgressNanos = now;
             running.generated(call, tokens);
         });
     }
@@ -110,6 +123,7 @@
                 queue.remove(id);
                 return takePending();
             }
+            lastProgressNanos = now;
             running.remove(call, completion);
             call.account.running--;
             call.account.lastSeenNanos = now;
@@ -117,7 +131,7 @@
             if (completion == Completion.FAILED) {
                 health.slow(running.size() + 1);
             } else if (completion == Completion.FINISHED && call.plain()) {
-                health.answered(call, now - call.admittedNanos, running.size() + 1);
+                health.answered(call, now - call.admittedNanos, now, running.size() + 1);
             }
             admitWaiting(now);
             return takePending();
@@ -128,10 +142,13 @@
     public List<AdmissionDecision> expire() {
         return lock.with(() -> {
             long now = clock.nanos();
-            for (Running overdue : running.overdue(now - settings.slowFirstTokenNanos())) {
-                assert overdue.overdue;
+            for (int i = running.overdue(now - settings.slowFirstTokenNanos()); i > 0; i--) {
                 health.slow(running.size());
             }
+            if (running.size() > 0 && now - lastProgressNanos > settings.slowFirstTokenNanos()) {
+                health.knownCold();
+                lastProgressNanos = now;
+            }
             for (Account.Waiting expired : queue.removeExpired(now)) {
                 refuse(expired.request(), waitOver(expired, now));
             }
@@ -284,7 +301,9 @@
 
     private void admit(Account account, AdmissionRequest request, long now) {
         queue.remove(request.id());
-        Running call = new Running(request, account, now, running.size() + predecessorRunning + 1);
+        Running call = new Running(request, account, now);
+        lastPrefillNanos = now;
+        lastProgressNanos = now;
         queue.started(account, running.add(call));
         pending.add(new AdmissionDecision.Admitted(request.id()));
     }
--- a/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
+++ b/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
@@ -21,6 +21,8 @@
     private Duration maxWait = Duration.ofMillis(1_200);
     private Duration firstToken = Duration.ofMillis(1_600);
     private Duration betweenTokens = Duration.ofMillis(69);
+    private Duration warmGap = Duration.ofMillis(23);
+    private Duration warmUp = Duration.ofSeconds(30);
 
     PredictiveAdmissionBuilder(MonotonicClock clock) {
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -100,6 +102,16 @@
         return this;
     }
 
+    /**
+     * Sets how a cold upstream shows that it is warm: by a time between tokens of at most {@code gap} at its cold
+     * limit, or by working for {@code longest} within the targets; at first 23 ms and 30 s.
+     */
+    public PredictiveAdmissionBuilder warmUp(Duration gap, Duration longest) {
+        this.warmGap = Objects.requireNonNull(gap, "gap");
+        this.warmUp = Objects.requireNonNull(longest, "longest");
+        return this;
+    }
+
     /** Returns the gate, which starts cold. */
     public PredictiveAdmission build() {
         return new PredictiveAdmission(this);
@@ -120,7 +132,9 @@
                 maxWaiting,
                 maxWait.toNanos(),
                 firstToken.toNanos(),
-                betweenTokens.toNanos());
+                betweenTokens.toNanos(),
+                warmGap.toNanos(),
+                warmUp.toNanos());
     }
 
     private static void require(boolean condition, String message) {
--- a/admission/src/main/java/coriandersill/admission/Running.java
+++ b/admission/src/main/java/coriandersill/admission/Running.java
@@ -9,8 +9,6 @@
     final LengthKey key;
     final Account account;
     final long admittedNanos;
-    /** The calls that ran when this one was admitted, itself included. */
-    final int runningThen;
 
     long lastTokenNanos;
     int generated;
@@ -22,13 +20,12 @@
     double charged;
     MemoryProjection.Contribution contribution;
 
-    Running(AdmissionRequest request, Account account, long admittedNanos, int runningThen) {
+    Running(AdmissionRequest request, Account account, long admittedNanos) {
         this.request = request;
         this.key = LengthKey.of(request);
         this.account = account;
         this.admittedNanos = admittedNanos;
         this.lastTokenNanos = admittedNanos;
-        this.runningThen = runningThen;
     }
 
     boolean plain() {
--- a/admission/src/main/java/coriandersill/admission/RunningSet.java
+++ b/admission/src/main/java/coriandersill/admission/RunningSet.java
@@ -96,9 +96,11 @@
         }
     }
 
-    /** Returns those that wait for their first token since {@code beforeNanos} or longer and were not returned yet. */
-    List<Running> overdue(long beforeNanos) {
-        List<Running> overdue = new ArrayList<>();
+    /**
+     * Marks and counts those that have waited for their first token since {@code beforeNanos} and are not marked yet.
+     */
+    int overdue(long beforeNanos) {
+        int overdue = 0;
         Iterator<Running> oldestFirst = unstarted.values().iterator();
         boolean more = oldestFirst.hasNext();
         while (more) {
@@ -106,7 +108,7 @@
             more = next.admittedNanos - beforeNanos <= 0;
             if (more && !next.overdue) {
                 next.overdue = true;
-                overdue.add(next);
+                overdue++;
             }
             more = more && oldestFirst.hasNext();
         }
