Model one engine in virtual time and generate workloads for the comparisons

Cause: the policies can't be compared without engines whose memory fills up in mid-decode, that start cold and that cache prefixes. Ruled out: a cluster simulator, and a closed formula (it shows no preemption). Change: EngineModel (continuous batching, blocks, preemption by recomputation, bounded prefix cache, cold start) and Workload (heavy tail, bursts, shifts, flood). Conclusion: six focused tests; a preempted generation still delivers every token once.

--- /dev/null
+++ b/experiment/src/main/java/coriandersill/experiment/EngineListener.java
@@ -0,0 +1,13 @@
+package coriandersill.experiment;
+
+import coriandersill.core.GenerationId;
+
+/** Hears what an engine does; called at the end of an iteration. */
+interface EngineListener {
+
+    /** One more token of a generation. */
+    void token(GenerationId id);
+
+    /** The end of a generation, whole or broken off by the engine. */
+    void ended(GenerationId id, boolean whole);
+}
--- /dev/null
+++ b/experiment/src/test/java/coriandersill/experiment/EngineModelTest.java
@@ -0,0 +1,129 @@
+package coriandersill.experiment;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import coriandersill.core.GenerationId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The model itself, and the memory and cold-start failures (G5, R1) that it has to be able to show. */
+final class EngineModelTest {
+    private final Map<GenerationId, Integer> tokens = new HashMap<>();
+    private final List<GenerationId> whole = new ArrayList<>();
+    private final List<GenerationId> broken = new ArrayList<>();
+    private final EngineListener listener = new EngineListener() {
+        @Override
+        public void token(GenerationId id) {
+            tokens.merge(id, 1, Integer::sum);
+        }
+
+        @Override
+        public void ended(GenerationId id, boolean complete) {
+            (complete ? whole : broken).add(id);
+        }
+    };
+    private long now;
+
+    private static EngineSpec spec(int blocks) {
+        return new EngineSpec(16, blocks, 32, 64, 128, 10_000_000, 1_000_000, 100_000, 2, 3, 1_000_000_000, 5);
+    }
+
+    private static EngineRequest request(long id, int prompt, int output, int priority) {
+        return new EngineRequest(new GenerationId(0, id), prompt, 7, 64, output, priority);
+    }
+
+    private long drain(EngineModel engine) {
+        long first = -1;
+        long length = engine.startIteration(now);
+        while (length >= 0) {
+            first = first < 0 ? length : first;
+            now += length;
+            engine.endIteration();
+            length = engine.startIteration(now);
+        }
+        return first;
+    }
+
+    @Test
+    void everyTokenIsDeliveredOnceAlthoughMemoryRunsOutInMidDecode() {
+        EngineModel engine = new EngineModel(spec(40), listener);
+        for (int i = 0; i < 6; i++) {
+            engine.submit(request(i, 64, 200, 0), now);
+        }
+        drain(engine);
+        assertThat(engine.preemptions(), greaterThan(0L));
+        assertThat(whole.size(), is(6));
+        tokens.values().forEach(count -> assertThat(count, is(200)));
+        assertThat(engine.freeBlocks(), is(40));
+    }
+
+    @Test
+    void theLowestPriorityIsPreemptedFirst() {
+        EngineModel engine = new EngineModel(spec(24), listener);
+        engine.submit(request(1, 64, 200, 0), now);
+        engine.submit(request(2, 64, 200, 5), now);
+        drain(engine);
+        assertThat(engine.preemptions(), is(1L));
+        assertThat(whole.get(0), is(new GenerationId(0, 2)));
+    }
+
+    @Test
+    void aCachedPrefixShortensThePrefillAndTheCacheStaysBounded() {
+        EngineModel engine = new EngineModel(spec(100), listener);
+        engine.submit(request(1, 100, 3, 0), now);
+        long without = drain(engine);
+        engine.submit(request(2, 100, 3, 0), now);
+        assertThat(drain(engine), is(lessThan(without)));
+        for (int prefix = 10; prefix < 40; prefix++) {
+            engine.cache().add(prefix, 4);
+        }
+        assertThat(engine.cache().usedBlocks(), is(32));
+        assertThat(engine.cache().contains(7), is(false));
+    }
+
+    @Test
+    void aColdEngineFallsOverAboveWhatItBears() {
+        EngineModel engine = new EngineModel(spec(100), listener);
+        engine.turnCold();
+        for (int i = 0; i < 3; i++) {
+            engine.submit(request(i, 32, 5, 0), now);
+        }
+        assertThat(engine.coldViolations(), is(0L));
+        engine.submit(request(3, 32, 5, 0), now);
+        assertThat(engine.coldViolations(), is(1L));
+        assertThat(broken.size(), is(4));
+    }
+
+    @Test
+    void aCancelledGenerationFreesItsMemoryAndEndsWithoutFurtherTokens() {
+        EngineModel engine = new EngineModel(spec(100), listener);
+        engine.submit(request(1, 64, 1_000, 0), now);
+        engine.startIteration(now);
+        engine.endIteration();
+        engine.cancel(new GenerationId(0, 1));
+        drain(engine);
+        assertThat(tokens.get(new GenerationId(0, 1)), is(1));
+        assertThat(engine.freeBlocks(), is(100));
+    }
+
+    @Test
+    void theSameSeedGivesTheSameWorkloadWithAHeavyTail() {
+        WorkloadSpec spec = WorkloadSpec.standard(50, Duration.ofSeconds(40));
+        List<Arrival> arrivals = Workload.generate(spec, 11);
+        assertThat(Workload.generate(spec, 11), is(arrivals));
+        assertThat((double) arrivals.size(), greaterThan(1_700.0));
+        assertThat((double) arrivals.size(), lessThan(2_300.0));
+        int[] lengths = arrivals.stream()
+                .mapToInt(arrival -> arrival.request().outputTokens())
+                .sorted()
+                .toArray();
+        assertThat(lengths[lengths.length * 99 / 100], greaterThan(10 * lengths[lengths.length / 2]));
+    }
+}
