Route by own counts first, with bounded affinity, ejection, zone ramps and budgeted retries

Cause: the entry needs one facade that picks an upstream and decides on repeats. Ruled out: choosing by the lagging reports (all entries herd to the same upstream); a pass-through probability for returning upstreams (an idle one would be chosen every time it passed). A recovering group is drawn with its part of its usual share instead. Change: Router (select, finished, report, forget, zoneInService), LeastPredictedLoad, PrefixAffinity, ZonePreference, RoundRobin, RouteOutlierDetector, BudgetedRetry, RetryBudget, QuantileHedge. Candidate and RouteRequest keep their old constructors.

--- a/routing/src/main/java/coriandersill/routing/Candidate.java
+++ b/routing/src/main/java/coriandersill/routing/Candidate.java
@@ -12,7 +12,8 @@
  * @param version the version its upstream serves
  * @param inFlight this entry's own calls that run or wait there
  * @param reservedTokens tokens that this entry predicts its own calls there to hold
- * @param reportedInFlight running calls by the sidecar's last report, all entries together; the report lags
+ * @param othersInFlight calls of other entries by the sidecar's last report, discounted by the report's age
+ * @param othersTokens tokens reserved for them, discounted likewise
  * @param limit the concurrency limit by the sidecar's last report, 1 or more
  * @param memoryTokens the engine memory in tokens; 0 where unknown
  */
@@ -22,6 +23,38 @@
         VersionName version,
         int inFlight,
         long reservedTokens,
-        int reportedInFlight,
+        int othersInFlight,
+        long othersTokens,
         int limit,
-        long memoryTokens) {}
+        long memoryTokens) {
+
+    /** Creates a candidate of which the tokens of other entries are unknown. */
+    public Candidate(
+            InstanceId instance,
+            AvailabilityZone zone,
+            VersionName version,
+            int inFlight,
+            long reservedTokens,
+            int othersInFlight,
+            int limit,
+            long memoryTokens) {
+        this(instance, zone, version, inFlight, reservedTokens, othersInFlight, 0, limit, memoryTokens);
+    }
+
+    /**
+     * The predicted load: the larger of the used parts of the concurrency limit and of the memory. It exceeds 1 where
+     * more is in flight than the upstream takes.
+     */
+    public double predictedLoad() {
+        double concurrency = (inFlight + othersInFlight) / (double) Math.max(1, limit);
+        if (memoryTokens <= 0) {
+            return concurrency;
+        }
+        return Math.max(concurrency, (reservedTokens + othersTokens) / (double) memoryTokens);
+    }
+
+    /** Whether the request may go here: the version is the one it asks for and it has not been tried here before. */
+    boolean suits(RouteRequest request) {
+        return version.equals(request.version()) && !request.excluded().contains(instance);
+    }
+}
--- a/routing/src/main/java/coriandersill/routing/LeastInFlight.java
+++ b/routing/src/main/java/coriandersill/routing/LeastInFlight.java
@@ -1,6 +1,5 @@
 package coriandersill.routing;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -15,9 +14,12 @@
 
     @Override
     public Optional<Candidate> choose(RouteRequest request, List<Candidate> candidates) {
-        return candidates.stream()
-                .filter(candidate -> candidate.version().equals(request.version()))
-                .filter(candidate -> !request.excluded().contains(candidate.instance()))
-                .min(Comparator.comparingInt(Candidate::inFlight));
+        Candidate best = null;
+        for (Candidate candidate : candidates) {
+            if (candidate.suits(request) && (best == null || candidate.inFlight() < best.inFlight())) {
+                best = candidate;
+            }
+        }
+        return Optional.ofNullable(best);
     }
 }
--- /dev/null
+++ b/routing/src/main/java/coriandersill/routing/RouteOutlierDetector.java
@@ -0,0 +1,57 @@
+package coriandersill.routing;
+
+import coriandersill.core.InstanceId;
+import coriandersill.core.RouteName;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.routing.internal.PeerGroup;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Compares each upstream with its peers of the same version on the same route, by failed calls and by latency.
+ *
+ * <p>An upstream that fails or is slow on one route is ejected from that route only. What all peers show alike ejects
+ * none of them. Not safe for use by many threads; {@link Router} guards it.
+ */
+public final class RouteOutlierDetector implements OutlierDetector {
+    private final OutlierSettings settings;
+    private final Map<GroupKey, PeerGroup> groups = new HashMap<>();
+
+    private RouteOutlierDetector(OutlierSettings settings) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+    }
+
+    /** Returns a detector that has seen no calls. */
+    public static RouteOutlierDetector of(OutlierSettings settings) {
+        return new RouteOutlierDetector(settings);
+    }
+
+    @Override
+    public void record(InstanceId instance, RouteRequest request, CallResult result, long now) {
+        if (result.kind() == CallResult.Kind.OK || result.kind() == CallResult.Kind.FAILED) {
+            groups.computeIfAbsent(GroupKey.of(request), key -> new PeerGroup(settings))
+                    .record(instance, result, now);
+        }
+    }
+
+    @Override
+    public Map<InstanceId, Double> reducedShares(RouteRequest request, long now) {
+        PeerGroup group = groups.get(GroupKey.of(request));
+        return group == null ? Map.of() : group.reducedShares(now);
+    }
+
+    @Override
+    public void forget(InstanceId instance) {
+        groups.values().forEach(group -> group.forget(instance));
+        groups.values().removeIf(PeerGroup::isEmpty);
+    }
+
+    /** Upstreams that are compared with each other. */
+    private record GroupKey(ServiceName service, VersionName version, RouteName route) {
+        private static GroupKey of(RouteRequest request) {
+            return new GroupKey(request.service(), request.version(), request.route());
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/coriandersill/routing/internal/InstanceTable.java
@@ -0,0 +1,88 @@
+package coriandersill.routing.internal;
+
+import coriandersill.core.InstanceId;
+import coriandersill.routing.Candidate;
+import coriandersill.routing.CandidateInfo;
+import coriandersill.routing.LoadReport;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Own calls in flight and the last report of each instance; guarded by the lock of its owner. */
+public final class InstanceTable {
+    private final long reportLifetimeNanos;
+    private final Map<InstanceId, State> states = new HashMap<>();
+
+    /** Creates an empty table. */
+    public InstanceTable(long reportLifetimeNanos) {
+        this.reportLifetimeNanos = reportLifetimeNanos;
+    }
+
+    /** Counts one more call in flight. */
+    public void reserve(InstanceId instance, int tokens) {
+        State state = states.computeIfAbsent(instance, id -> new State());
+        state.inFlight++;
+        state.reservedTokens += tokens;
+    }
+
+    /** Counts one call less in flight; returns whether there was one. */
+    public boolean release(InstanceId instance, int tokens) {
+        State state = states.get(instance);
+        if (state == null || state.inFlight == 0) {
+            return false;
+        }
+        state.inFlight--;
+        state.reservedTokens = state.inFlight == 0 ? 0 : Math.max(0, state.reservedTokens - tokens);
+        return true;
+    }
+
+    /** Keeps a report, with what of it are own calls. */
+    public void report(InstanceId instance, LoadReport report, long now) {
+        State state = states.computeIfAbsent(instance, id -> new State());
+        state.report = report;
+        state.reportedAt = now;
+        state.othersInFlight = Math.max(0, report.running() + report.waiting() - state.inFlight);
+        state.othersTokens = Math.max(0, report.reservedTokens() - state.reservedTokens);
+    }
+
+    /** Forgets an instance. */
+    public void forget(InstanceId instance) {
+        states.remove(instance);
+    }
+
+    /** Returns own calls in flight at an instance. */
+    public int inFlight(InstanceId instance) {
+        State state = states.get(instance);
+        return state == null ? 0 : state.inFlight;
+    }
+
+    /** Returns how an instance looks at {@code now}. */
+    public Candidate candidate(CandidateInfo info, long now) {
+        State state = states.get(info.instance());
+        if (state == null) {
+            return new Candidate(
+                    info.instance(), info.zone(), info.version(), 0, 0, 0, info.limit(), info.memoryTokens());
+        }
+        LoadReport report = state.report;
+        double weight = report == null ? 0 : Math.max(0, 1 - (now - state.reportedAt) / (double) reportLifetimeNanos);
+        return new Candidate(
+                info.instance(),
+                info.zone(),
+                info.version(),
+                state.inFlight,
+                state.reservedTokens,
+                (int) Math.round(weight * state.othersInFlight),
+                (long) (weight * state.othersTokens),
+                report == null ? info.limit() : Math.max(1, report.limit()),
+                report == null ? info.memoryTokens() : report.memoryTokens());
+    }
+
+    /** What is known of one instance. */
+    private static final class State {
+        private int inFlight;
+        private long reservedTokens;
+        private LoadReport report;
+        private long reportedAt;
+        private int othersInFlight;
+        private long othersTokens;
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/coriandersill/routing/RoutingPolicyTest.java
@@ -0,0 +1,97 @@
+package coriandersill.routing;
+
+import static coriandersill.routing.Fixtures.candidate;
+import static coriandersill.routing.Fixtures.instance;
+import static coriandersill.routing.Fixtures.request;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import coriandersill.core.VersionName;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Choice among candidates; R5. */
+final class RoutingPolicyTest {
+    private final LeastPredictedLoad leastLoad = LeastPredictedLoad.startingAt(0);
+
+    private static int chosen(RoutingPolicy policy, RouteRequest request, List<Candidate> candidates) {
+        return candidates.indexOf(policy.choose(request, candidates).orElseThrow());
+    }
+
+    @Test
+    void everyPolicyAvoidsTriedInstancesAndOtherVersions() {
+        Candidate other = new Candidate(instance(3), Fixtures.ZONE_A, VersionName.of("v2"), 0, 0, 0, 40, 0);
+        List<Candidate> candidates = List.of(candidate(0, 0, 0), candidate(1, 30, 0), other);
+        for (RoutingPolicy policy : List.of(
+                LeastInFlight.create(),
+                RoundRobin.create(),
+                leastLoad,
+                PrefixAffinity.of(1.25, leastLoad),
+                ZonePreference.of(0.7, 0.1, leastLoad))) {
+            RouteRequest once = request("chat", 5).excluding(instance(0));
+            assertThat(policy.toString(), chosen(policy, once, candidates), is(1));
+            assertThat(policy.choose(once.excluding(instance(1)), candidates), is(Optional.empty()));
+        }
+    }
+
+    @Test
+    void theLeastLoadCountsOwnCallsOthersCallsLimitsAndMemory() {
+        Candidate full = new Candidate(instance(0), Fixtures.ZONE_A, Fixtures.V1, 1, 31_000, 0, 0, 40, 32_000);
+        Candidate cold = new Candidate(instance(1), Fixtures.ZONE_A, Fixtures.V1, 2, 0, 0, 0, 4, 32_000);
+        assertThat(chosen(leastLoad, request("chat", 0), List.of(full, cold, candidate(2, 9, 9))), is(2));
+    }
+
+    @Test
+    void equalLoadsAreTakenInTurn() {
+        List<Candidate> equal = List.of(candidate(0, 1, 0), candidate(1, 1, 0), candidate(2, 1, 0));
+        List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            order.add(chosen(leastLoad, request("chat", 0), equal));
+        }
+        assertThat(order, is(List.of(0, 1, 2)));
+    }
+
+    @Test
+    void aPrefixKeepsItsUpstreamUntilThatOneIsAboveTheBound() {
+        PrefixAffinity affinity = PrefixAffinity.of(1.25, leastLoad);
+        List<Candidate> even = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            even.add(candidate(i, 20, 0));
+        }
+        int home = chosen(affinity, request("chat", 99), even);
+        assertThat(chosen(affinity, request("chat", 99), even), is(home));
+        List<Candidate> without = new ArrayList<>(even);
+        without.remove(home == 0 ? 1 : 0);
+        assertThat(
+                affinity.choose(request("chat", 99), without).orElseThrow().instance(),
+                is(even.get(home).instance()));
+        even.set(home, candidate(home, 28, 0));
+        assertThat(chosen(affinity, request("chat", 99), even), is(not(home)));
+    }
+
+    @Test
+    void prefixesSpreadOverAllUpstreams() {
+        PrefixAffinity affinity = PrefixAffinity.of(1.25, leastLoad);
+        List<Candidate> even = List.of(candidate(0, 9, 0), candidate(1, 9, 0), candidate(2, 9, 0), candidate(3, 9, 0));
+        int[] counts = new int[4];
+        for (long hash = 1; hash <= 400; hash++) {
+            counts[chosen(affinity, request("chat", hash), even)]++;
+        }
+        for (int count : counts) {
+            assertThat(count, greaterThan(60));
+        }
+    }
+
+    @Test
+    void theOwnZoneIsPreferredOnlyWhileItIsNotOverloaded() {
+        ZonePreference preference = ZonePreference.of(0.7, 0.1, leastLoad);
+        for (int[] row : new int[][] {{4, 4, 0}, {6, 4, 0}, {12, 4, 1}, {32, 30, 1}}) {
+            List<Candidate> candidates = List.of(candidate(0, row[0], 0), candidate(1, row[1], 0));
+            assertThat("local " + row[0], chosen(preference, request("chat", 0), candidates), is(row[2]));
+        }
+    }
+}
