Run entries, sidecars and engines together in virtual time

Cause: the decisions have to be compared in concert: several entries, lagging reports, network delays of both deployments, retries. Ruled out: real processes (slow, not repeatable).

--- /dev/null
+++ b/experiment/src/main/java/coriandersill/experiment/QueueingFixedLimit.java
@@ -0,0 +1,81 @@
+package coriandersill.experiment;
+
+import coriandersill.admission.AdmissionController;
+import coriandersill.admission.AdmissionDecision;
+import coriandersill.admission.AdmissionRequest;
+import coriandersill.admission.Completion;
+import coriandersill.admission.UpstreamLoad;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.GenerationId;
+import coriandersill.core.MonotonicClock;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Admits up to a fixed number of requests, first come first served, and lets the rest wait until their deadline.
+ *
+ * <p>A stronger baseline than one that refuses at once. Not safe for use by many threads.
+ */
+final class QueueingFixedLimit implements AdmissionController {
+    private final MonotonicClock clock;
+    private final int limit;
+    private final Set<GenerationId> running = new HashSet<>();
+    private final Map<GenerationId, AdmissionRequest> waiting = new LinkedHashMap<>();
+
+    QueueingFixedLimit(MonotonicClock clock, int limit) {
+        this.clock = clock;
+        this.limit = limit;
+    }
+
+    @Override
+    public AdmissionDecision offer(AdmissionRequest request) {
+        if (running.size() < limit) {
+            running.add(request.id());
+            return new AdmissionDecision.Admitted(request.id());
+        }
+        waiting.put(request.id(), request);
+        return new AdmissionDecision.Waiting(request.id());
+    }
+
+    @Override
+    public void generated(GenerationId id, int tokens) {
+        // The fixed limit does not depend on tokens.
+    }
+
+    @Override
+    public List<AdmissionDecision> finished(GenerationId id, Completion completion) {
+        waiting.remove(id);
+        running.remove(id);
+        return expire();
+    }
+
+    @Override
+    public List<AdmissionDecision> expire() {
+        List<AdmissionDecision> decisions = new ArrayList<>();
+        Iterator<AdmissionRequest> queue = waiting.values().iterator();
+        while (queue.hasNext()) {
+            AdmissionRequest next = queue.next();
+            if (next.deadlineNanos() <= clock.nanos()) {
+                queue.remove();
+                CallFailure failure = CallFailure.of(ErrorKind.OVERLOADED, "no room before the deadline");
+                decisions.add(new AdmissionDecision.Refused(next.id(), failure));
+            } else if (running.size() < limit) {
+                queue.remove();
+                running.add(next.id());
+                decisions.add(new AdmissionDecision.Admitted(next.id()));
+            }
+        }
+        return decisions;
+    }
+
+    @Override
+    public UpstreamLoad load() {
+        return new UpstreamLoad(running.size(), waiting.size(), limit, false, 0, 0);
+    }
+}
--- /dev/null
+++ b/experiment/src/main/java/coriandersill/experiment/SidecarModel.java
@@ -0,0 +1,123 @@
+package coriandersill.experiment;
+
+import coriandersill.admission.AdmissionController;
+import coriandersill.admission.AdmissionDecision;
+import coriandersill.admission.AdmissionRequest;
+import coriandersill.admission.Completion;
+import coriandersill.admission.UpstreamLoad;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.GenerationId;
+import coriandersill.core.RouteName;
+import coriandersill.routing.LoadReport;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One engine with its admission gate, in virtual time. */
+final class SidecarModel implements EngineListener {
+    private static final RouteName ROUTE = RouteName.of("completions");
+
+    private final EventQueue events;
+    private final AdmissionController admission;
+    private final EngineModel engine;
+    private final SidecarListener listener;
+    private final Map<GenerationId, Call> calls = new HashMap<>();
+
+    SidecarModel(EventQueue events, AdmissionController admission, EngineSpec spec, SidecarListener listener) {
+        this.events = events;
+        this.admission = admission;
+        this.engine = new EngineModel(spec, this);
+        this.listener = listener;
+    }
+
+    /** Takes a call that an entry has sent. */
+    void offer(Call call, long deadlineNanos) {
+        EngineRequest request = call.arrival.request();
+        calls.put(request.id(), call);
+        carryOut(admission.offer(new AdmissionRequest(
+                request.id(),
+                call.attempt,
+                call.arrival.workspace(),
+                call.arrival.weight(),
+                ROUTE,
+                Deployment.VERSION,
+                request.promptTokens(),
+                call.arrival.maxTokens(),
+                request.priority(),
+                deadlineNanos)));
+    }
+
+    /** Lets waits end. */
+    void tick() {
+        carryOutLater(admission.expire());
+    }
+
+    LoadReport report() {
+        UpstreamLoad load = admission.load();
+        return new LoadReport(
+                load.running(), load.waiting(), load.limit(), load.cold(), load.reservedTokens(), load.memoryTokens());
+    }
+
+    EngineModel engine() {
+        return engine;
+    }
+
+    @Override
+    public void token(GenerationId id) {
+        Call call = calls.get(id);
+        admission.generated(id, 1);
+        listener.token(call);
+        call.tokens++;
+        call.lastTokenAt = events.now();
+        if (call.tokens == 1) {
+            call.firstTokenAt = events.now();
+        }
+    }
+
+    @Override
+    public void ended(GenerationId id, boolean whole) {
+        Call call = calls.remove(id);
+        carryOutLater(admission.finished(id, whole ? Completion.FINISHED : Completion.FAILED));
+        if (whole) {
+            listener.finished(call);
+        } else {
+            ErrorKind kind = call.tokens > 0 ? ErrorKind.GENERATION_INTERRUPTED : ErrorKind.OUTCOME_UNKNOWN;
+            listener.failed(call, CallFailure.of(kind, "the engine fell over"));
+        }
+    }
+
+    private void carryOutLater(List<AdmissionDecision> decisions) {
+        for (AdmissionDecision decision : decisions) {
+            events.after(0, () -> carryOut(decision));
+        }
+    }
+
+    private void carryOut(AdmissionDecision decision) {
+        Call call = calls.get(decision.id());
+        if (call == null) {
+            return;
+        }
+        if (decision instanceof AdmissionDecision.Admitted) {
+            call.ran = true;
+            engine.submit(call.arrival.request(), events.now());
+            startIteration();
+        } else if (decision instanceof AdmissionDecision.Refused refused) {
+            calls.remove(decision.id());
+            listener.failed(call, refused.failure());
+        }
+    }
+
+    private void startIteration() {
+        long length = engine.startIteration(events.now());
+        if (length >= 0) {
+            events.after(length, this::endIteration);
+        }
+    }
+
+    private void endIteration() {
+        engine.endIteration();
+        carryOutLater(admission.expire());
+        startIteration();
+    }
+}
