Compare the policies against round-robin with the best fixed limit

Cause: the targets are relative to a baseline that has to be found in the same run. Ruled out: a baseline that refuses at once when full (too easy to beat).

--- a/experiment/src/main/java/coriandersill/experiment/Arrival.java
+++ b/experiment/src/main/java/coriandersill/experiment/Arrival.java
@@ -13,4 +13,10 @@
  * @param request what the engine will be given
  */
 public record Arrival(
-        long atNanos, int entry, WorkspaceName workspace, double weight, int maxTokens, EngineRequest request) {}
+        long atNanos, int entry, WorkspaceName workspace, double weight, int maxTokens, EngineRequest request) {
+
+    /** Returns the same request at another time. */
+    Arrival at(long nanos) {
+        return new Arrival(nanos, entry, workspace, weight, maxTokens, request);
+    }
+}
--- a/experiment/src/main/java/coriandersill/experiment/EngineSpec.java
+++ b/experiment/src/main/java/coriandersill/experiment/EngineSpec.java
@@ -33,10 +33,13 @@
         long warmUpNanos,
         long restartNanos) {
 
-    /** Returns the engine of both deployments: 32,000 tokens of memory and about 40 sequences at its best. */
+    /**
+     * Returns the engine of both deployments: 25,600 tokens of memory, and some 800 tokens a second in iterations of 40
+     * ms at its best.
+     */
     public static EngineSpec standard() {
         return new EngineSpec(
-                16, 2_000, 400, 256, 384, 14_000_000L, 250_000L, 60_000L, 2.5, 4, 8_000_000_000L, 5_000_000_000L);
+                16, 1_600, 400, 256, 1_024, 20_000_000L, 450_000L, 60_000L, 2.5, 4, 8_000_000_000L, 5_000_000_000L);
     }
 
     /** The memory for running sequences, in tokens. */
--- /dev/null
+++ b/experiment/src/main/java/coriandersill/experiment/Experiment.java
@@ -0,0 +1,104 @@
+package coriandersill.experiment;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+
+/** The command that compares policies and prints what it measured. */
+@Command(
+        name = "coriandersill-experiment",
+        description = "Compares routing and admission policies on modelled engines in virtual time")
+public final class Experiment {
+    private static final int[] LOADS = {70, 90, 100, 110};
+    private static final double FLOOD = 10;
+    private static final int USAGE_EXIT_CODE = 2;
+
+    @Option(name = "--deployment", description = "awaj, silverbend or both (default)")
+    private String deployment = "both";
+
+    @Option(name = "--seeds", description = "seeds of each comparison, from 1 (default 5)")
+    private int seeds = 5;
+
+    @Option(name = "--seconds", description = "measured seconds of each run (default 120)")
+    private int seconds = 120;
+
+    @Option(name = "--threads", description = "simulations at a time (default 3)")
+    private int threads = 3;
+
+    @Option(name = "--out", description = "folder for the plot data (default experiment/target/results)")
+    private String out = "experiment/target/results";
+
+    /** Creates the command with its defaults; the command line sets the rest. */
+    public Experiment() {}
+
+    /** Parses the options and runs the comparisons; exits with 2 for wrong options. */
+    public static void main(String[] args) {
+        try {
+            SingleCommand.singleCommand(Experiment.class).parse(args).run();
+        } catch (ParseException | IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            System.exit(USAGE_EXIT_CODE);
+        }
+    }
+
+    private void run() {
+        Runner runner = new Runner(threads, seeds, Duration.ofSeconds(seconds));
+        for (Deployment each : deployments()) {
+            compare(runner, each);
+        }
+    }
+
+    private List<Deployment> deployments() {
+        return switch (deployment) {
+            case "awaj" -> List.of(Deployment.awaj());
+            case "silverbend" -> List.of(Deployment.silverbend());
+            case "both" -> List.of(Deployment.awaj(), Deployment.silverbend());
+            default -> throw new IllegalArgumentException(
+                    "--deployment: expected awaj, silverbend or both, found \"" + deployment + "\"");
+        };
+    }
+
+    private void compare(Runner runner, Deployment each) {
+        Sustainable sustainable = new Sustainable(runner, each);
+        double full = sustainable.tokensPerSecond();
+        System.out.printf(Locale.ROOT, "%n%s sustains %.0f tokens/s; %d seeds%n", each.name(), full, seeds);
+        ResultTable table = new ResultTable(System.out, each.name());
+        for (int load : LOADS) {
+            double rate = full * load / 100;
+            List<CompletableFuture<Summary>> runs = new ArrayList<>();
+            for (PolicySet policies : StockPolicies.variants(each.engine(), sustainable.bestLimit(rate))) {
+                runs.add(runner.run(each, rate, policies)
+                        .thenApply(results -> new Summary(policies.name(), load, results)));
+            }
+            runs.forEach(run -> table.add(run.join()));
+        }
+        flood(runner, each, full, table);
+        table.write(Path.of(out), each.name() + ".csv");
+    }
+
+    /** Lets one workspace send ten times its share, at 90% without the flood. */
+    private void flood(Runner runner, Deployment each, double full, ResultTable table) {
+        PolicySet standard = StockPolicies.standard(each.engine());
+        double rate = full * 0.9;
+        for (double factor : new double[] {1, FLOOD}) {
+            Summary summary = new Summary(
+                    String.format(Locale.ROOT, "standard, flood x%.0f", factor),
+                    90,
+                    runner.run(seed -> runner.settings(each, rate, factor, seed), standard)
+                            .join());
+            table.add(summary);
+            System.out.printf(
+                    Locale.ROOT,
+                    "  others: first token p99 %.0f ms, between tokens p99 %.1f ms%n",
+                    summary.mean(result -> result.firstTokenOthers().p99()),
+                    summary.mean(result -> result.betweenOthers().p99()));
+        }
+    }
+}
--- /dev/null
+++ b/experiment/src/main/java/coriandersill/experiment/ResultTable.java
@@ -0,0 +1,101 @@
+package coriandersill.experiment;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Prints summaries as a table, and every single run as a line of a file from which plots are drawn. */
+final class ResultTable {
+    private static final String HEADER = "deployment,load,policies,seed,offered,goodput,answered,refused,broken,"
+            + "false_refusals,stall_s,preemptions,cold_violations,ttft_p50,ttft_p95,ttft_p99,"
+            + "gap_p50,gap_p95,gap_p99,others_ttft_p99,others_gap_p99,attempts";
+
+    private final PrintStream out;
+    private final String deployment;
+    private final List<String> lines = new ArrayList<>(List.of(HEADER));
+
+    ResultTable(PrintStream out, String deployment) {
+        this.out = out;
+        this.deployment = deployment;
+        out.printf(
+                Locale.ROOT,
+                "%-10s %5s %-32s %8s %8s %7s %8s %9s %9s %9s %8s %8s%n",
+                "deployment",
+                "load",
+                "policies",
+                "offered",
+                "goodput",
+                "refused",
+                "stall s",
+                "preempted",
+                "ttft p95",
+                "ttft p99",
+                "gap p95",
+                "gap p99");
+    }
+
+    void add(Summary summary) {
+        out.printf(
+                Locale.ROOT,
+                "%-10s %4d%% %-32s %8.0f %8.0f %7.1f %8.1f %9.1f %9.0f %9.0f %8.1f %8.1f%n",
+                deployment,
+                summary.load(),
+                summary.policies(),
+                summary.mean(RunResult::offered),
+                summary.goodput(),
+                summary.mean(RunResult::refused),
+                summary.stallSeconds(),
+                summary.mean(RunResult::preemptions),
+                summary.mean(result -> result.firstToken().p95()),
+                summary.mean(result -> result.firstToken().p99()),
+                summary.mean(result -> result.between().p95()),
+                summary.betweenP99());
+        summary.results().forEach(result -> lines.add(line(summary, result)));
+    }
+
+    /** Writes the file {@code name} in {@code folder}, which is created. */
+    void write(Path folder, String name) {
+        try {
+            Files.createDirectories(folder);
+            Files.write(folder.resolve(name), lines);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot write " + folder.resolve(name), e);
+        }
+    }
+
+    private String line(Summary summary, RunResult run) {
+        List<Object> cells = List.of(
+                deployment,
+                summary.load(),
+                summary.policies().replace(',', ' '),
+                run.seed(),
+                rounded(run.offered()),
+                rounded(run.goodput()),
+                run.answered(),
+                run.refused(),
+                run.broken(),
+                run.falseRefusals(),
+                rounded(run.stallSeconds()),
+                run.preemptions(),
+                run.coldViolations(),
+                rounded(run.firstToken().p50()),
+                rounded(run.firstToken().p95()),
+                rounded(run.firstToken().p99()),
+                rounded(run.between().p50()),
+                rounded(run.between().p95()),
+                rounded(run.between().p99()),
+                rounded(run.firstTokenOthers().p99()),
+                rounded(run.betweenOthers().p99()),
+                run.attempts());
+        return String.join(",", cells.stream().map(Object::toString).toList());
+    }
+
+    private static String rounded(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+}
--- /dev/null
+++ b/experiment/src/main/java/coriandersill/experiment/Runner.java
@@ -0,0 +1,49 @@
+package coriandersill.experiment;
+
+import coriandersill.workers.WorkerPool;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongFunction;
+
+/** Runs many simulations on a few workers, each with a seed of its own. */
+final class Runner {
+    private static final int MAX_RUNS = 100_000;
+    private static final Duration WARM_UP = Duration.ofSeconds(30);
+    private static final Duration COOL_DOWN = Duration.ofSeconds(10);
+
+    private final WorkerPool workers;
+    private final int seeds;
+    private final Duration measured;
+
+    Runner(int threads, int seeds, Duration measured) {
+        this.workers = WorkerPool.of("experiment", threads, MAX_RUNS);
+        this.seeds = seeds;
+        this.measured = measured;
+    }
+
+    /** Runs the policies at a load with seeds from 1, without faults. */
+    CompletableFuture<List<RunResult>> run(Deployment deployment, double tokensPerSecond, PolicySet policies) {
+        return run(seed -> settings(deployment, tokensPerSecond, 1, seed), policies);
+    }
+
+    /** Runs the policies with seeds from 1. */
+    CompletableFuture<List<RunResult>> run(LongFunction<RunSettings> settings, PolicySet policies) {
+        List<CompletableFuture<RunResult>> runs = new ArrayList<>();
+        for (long seed = 1; seed <= seeds; seed++) {
+            long current = seed;
+            runs.add(workers.submit(() -> Simulation.run(settings.apply(current), policies)));
+        }
+        return CompletableFuture.allOf(runs.toArray(CompletableFuture[]::new))
+                .thenApply(done -> runs.stream().map(CompletableFuture::join).toList());
+    }
+
+    /** Returns a run at a load, in which the fourth workspace sends {@code flood} times its usual rate. */
+    RunSettings settings(Deployment deployment, double tokensPerSecond, double flood, long seed) {
+        Duration duration = WARM_UP.plus(measured).plus(COOL_DOWN);
+        WorkloadSpec spec = WorkloadSpec.standard(1, duration).withFlood(flood);
+        List<Arrival> arrivals = Workload.atTokenRate(spec, tokensPerSecond, seed);
+        return RunSettings.of(deployment, arrivals, seed, WARM_UP, measured);
+    }
+}
--- a/experiment/src/main/java/coriandersill/experiment/Workload.java
+++ b/experiment/src/main/java/coriandersill/experiment/Workload.java
@@ -2,6 +2,7 @@
 
 import coriandersill.core.GenerationId;
 import coriandersill.core.WorkspaceName;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -16,7 +17,10 @@
  */
 public final class Workload {
     /** The largest output in tokens. */
-    public static final int MAX_OUTPUT_TOKENS = 4_096;
+    public static final int MAX_OUTPUT_TOKENS = 8_192;
+
+    /** The mean output of the usual workload, from which a first rate of requests is taken. */
+    private static final double MEAN_OUTPUT_TOKENS = 221;
 
     private static final double LARGE_SHARE = 0.5;
     private static final int LARGE_WORKSPACES = 3;
@@ -42,17 +46,30 @@
         return List.copyOf(arrivals);
     }
 
+    /**
+     * Returns arrivals that ask for {@code tokensPerSecond} over the specified duration, whatever lengths are drawn. A
+     * flood comes on top and leaves the arrivals of the other workspaces as they are.
+     */
+    public static List<Arrival> atTokenRate(WorkloadSpec spec, double tokensPerSecond, long seed) {
+        Duration longer = spec.duration().multipliedBy(3).dividedBy(2);
+        WorkloadSpec drawn = spec.withDuration(longer).withRate(tokensPerSecond / MEAN_OUTPUT_TOKENS);
+        double actual = tokens(generate(drawn.withFlood(1), seed)) / (longer.toNanos() / 1e9);
+        double stretch = actual / tokensPerSecond;
+        return generate(drawn, seed).stream()
+                .map(arrival -> arrival.at((long) (arrival.atNanos() * stretch)))
+                .filter(arrival -> arrival.atNanos() < spec.duration().toNanos())
+                .toList();
+    }
+
     /** Returns the name of the workspace with this index. */
     public static WorkspaceName workspaceName(int index) {
         return WorkspaceName.of("workspace-" + index);
     }
 
-    /** Returns the mean output length of a long sample, by which a rate of tokens is turned into one of requests. */
-    public static double meanOutputTokens(WorkloadSpec spec, long seed) {
-        return generate(spec.withRate(200), seed).stream()
-                .mapToInt(arrival -> arrival.request().outputTokens())
-                .average()
-                .orElseThrow();
+    private static long tokens(List<Arrival> arrivals) {
+        return arrivals.stream()
+                .mapToLong(arrival -> arrival.request().outputTokens())
+                .sum();
     }
 
     private static void generateWorkspace(
@@ -66,7 +83,7 @@
             boolean late = time > end / 2;
             double rate = meanRate / burstMean;
             rate *= time % BURST_PERIOD_SECONDS < BURST_SECONDS ? spec.burstFactor() : 1;
-            rate *= late && workspace == FLOODING_WORKSPACE ? spec.floodFactor() : 1;
+            rate *= workspace == FLOODING_WORKSPACE ? spec.floodFactor() : 1;
             if (random.nextDouble() * peak < rate) {
                 double shift = late && workspace == 0 ? spec.shiftFactor() : 1;
                 arrivals.add(arrival(spec, workspace, (long) (time * 1e9), shift, random));
--- a/experiment/src/main/java/coriandersill/experiment/WorkloadSpec.java
+++ b/experiment/src/main/java/coriandersill/experiment/WorkloadSpec.java
@@ -13,7 +13,7 @@
  * @param outputSigma the spread of the logarithm of the output length
  * @param burstFactor how much the rate rises in a burst; 1 for none
  * @param shiftFactor how much longer the largest workspace writes in the second half; 1 for no shift
- * @param floodFactor how many times its usual rate the fourth workspace sends in the second half; 1 for no flood
+ * @param floodFactor how many times its usual rate the fourth workspace sends; 1 for no flood
  */
 public record WorkloadSpec(
         double requestsPerSecond,
@@ -28,7 +28,7 @@
 
     /** Returns the usual workload: heavy-tailed outputs, bursts, one workspace that shifts, none that floods. */
     public static WorkloadSpec standard(double requestsPerSecond, Duration duration) {
-        return new WorkloadSpec(requestsPerSecond, duration, 3, 10, 160, 1.1, 1.6, 1.5, 1);
+        return new WorkloadSpec(requestsPerSecond, duration, 3, 10, 110, 1.1, 1.6, 1.5, 1);
     }
 
     /** Returns the same with another rate. */
@@ -37,7 +37,21 @@
                 rate, duration, entries, workspaces, medianOutput, outputSigma, burstFactor, shiftFactor, floodFactor);
     }
 
-    /** Returns the same with a flood by the fourth workspace in the second half. */
+    /** Returns the same over another time. */
+    public WorkloadSpec withDuration(Duration other) {
+        return new WorkloadSpec(
+                requestsPerSecond,
+                other,
+                entries,
+                workspaces,
+                medianOutput,
+                outputSigma,
+                burstFactor,
+                shiftFactor,
+                floodFactor);
+    }
+
+    /** Returns the same with a flood by the fourth workspace. */
     public WorkloadSpec withFlood(double factor) {
         return new WorkloadSpec(
                 requestsPerSecond,
--- a/routing/src/main/java/coriandersill/routing/RouterBuilder.java
+++ b/routing/src/main/java/coriandersill/routing/RouterBuilder.java
@@ -7,9 +7,14 @@
 
 /** Settings of a {@link Router}; every one has a standard value. */
 public final class RouterBuilder {
-    private static final double AFFINITY_BOUND = 1.25;
-    private static final double YIELD_LOAD = 0.7;
-    private static final double YIELD_DIFFERENCE = 0.05;
+    /** How many times the mean load an upstream carries at most for the sake of cached prefixes. */
+    public static final double AFFINITY_BOUND = 1.25;
+
+    /** The load of the least loaded local upstream from which other zones are considered. */
+    public static final double YIELD_LOAD = 0.7;
+
+    /** How much more loaded than elsewhere local upstreams may be. */
+    public static final double YIELD_DIFFERENCE = 0.05;
 
     final MonotonicClock clock;
     final RandomGenerator random;
