Add the traffic split, the zone gate, the evidence table and a sequential judge

Ruled out: a random split (sessions would flap between versions); deltas as evidence (a repeated message counts twice); a fixed-size test looked at often (its false alarm rate does not hold).

Change: TrafficSplit by hash, ZoneGate with a ramp, EvidenceTable with summaries that are cumulative within a window, SequentialJudge behind Judge and JudgePolicy.

Conclusion: usable by the daemons; the judge is not yet measured.

--- /dev/null
+++ b/rollout/src/main/java/coriandersill/rollout/JudgePolicy.java
@@ -0,0 +1,15 @@
+package coriandersill.rollout;
+
+/**
+ * Makes the judge of a rollout.
+ *
+ * @see SequentialJudge
+ * @see FixedSampleJudge
+ * @see ThresholdJudge
+ */
+@FunctionalInterface
+public interface JudgePolicy {
+
+    /** Returns a judge that has seen nothing yet. */
+    Judge begin(JudgeSettings settings);
+}
--- /dev/null
+++ b/rollout/src/main/java/coriandersill/rollout/Stratum.java
@@ -0,0 +1,24 @@
+package coriandersill.rollout;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.RouteName;
+import java.util.Objects;
+
+/**
+ * The calls of the old and the new version on the same route, in the same zone and time window.
+ *
+ * @param route the route
+ * @param zone the availability zone
+ * @param from counts of the old version
+ * @param to counts of the new version
+ */
+public record Stratum(RouteName route, AvailabilityZone zone, EvidenceCell from, EvidenceCell to) {
+
+    /** Refuses null. */
+    public Stratum {
+        Objects.requireNonNull(route, "route");
+        Objects.requireNonNull(zone, "zone");
+        Objects.requireNonNull(from, "from");
+        Objects.requireNonNull(to, "to");
+    }
+}
--- /dev/null
+++ b/rollout/src/test/java/coriandersill/rollout/ZoneGateTest.java
@@ -0,0 +1,68 @@
+package coriandersill.rollout;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.ManualClock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** Covers V8: a zone is taken out, brought back and taken out again. */
+class ZoneGateTest {
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("shewa-a");
+    private static final Duration RAMP = Duration.ofSeconds(100);
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final ZoneGate gate = ZoneGate.of(clock, RAMP);
+
+    @Test
+    void aZoneTakenOutAdmitsNothingFromThatMoment() {
+        gate.takeOut(ZONE);
+        assertThat(admittedOf(1000), is(0L));
+        clock.advance(Duration.ofDays(1));
+        assertThat(admittedOf(1000), is(0L));
+    }
+
+    @Test
+    void aZoneThatReturnsTakesItsWorkBackInSteps() {
+        gate.takeOut(ZONE);
+        gate.bringIn(ZONE);
+        assertThat(gate.share(ZONE), closeTo(0.05, 1e-9));
+        clock.advance(RAMP.dividedBy(2));
+        assertThat(gate.share(ZONE), closeTo(0.525, 1e-9));
+        assertThat((double) admittedOf(10_000), closeTo(5250, 200));
+        clock.advance(RAMP);
+        assertThat(gate.changing(ZONE), is(false));
+    }
+
+    @Test
+    void aZoneTakenOutAgainInItsRampAdmitsNothingAndItsNextRampStartsAnew() {
+        gate.takeOut(ZONE);
+        gate.bringIn(ZONE);
+        clock.advance(RAMP.dividedBy(2));
+        assertThat(gate.takeOut(ZONE), is(true));
+        assertThat(admittedOf(1000), is(0L));
+        assertThat(gate.bringIn(ZONE), is(true));
+        assertThat(gate.share(ZONE), lessThan(0.06));
+    }
+
+    @Test
+    void aRepeatedOrderToBringAZoneInNeitherRestartsNorSkipsItsRamp() {
+        gate.takeOut(ZONE);
+        gate.bringIn(ZONE);
+        clock.advance(RAMP.dividedBy(2));
+        assertThat(gate.bringIn(ZONE), is(false));
+        assertThat(gate.share(ZONE), closeTo(0.525, 1e-9));
+    }
+
+    private long admittedOf(int requests) {
+        return LongStream.range(0, requests)
+                .filter(request -> gate.admits(ZONE, TrafficSplit.hashOf("request-" + request)))
+                .count();
+    }
+}
