Add the rollout's state machine, local stops, pacing, forecast and reclaim plan

Ruled out: last writer wins (a verdict could flip); a rollback that waits for the lease (a paused holder would keep a bad version in traffic); refusing by proportion (small workspaces would pay for large ones).

Change: RolloutFold over log offsets with fencing tokens, LocalStops that merge in any order, DeadlinePacer and FixedStepPacer, ThresholdJudge and FixedSampleJudge as baselines, ZoneMoveForecast, ReclaimPlan, EvidenceCollectors.

--- /dev/null
+++ b/rollout/src/main/java/coriandersill/rollout/ThresholdJudge.java
@@ -0,0 +1,75 @@
+package coriandersill.rollout;
+
+import coriandersill.core.RouteName;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Judges by the ratio of the plain rates and medians over all windows: the usual way, kept as the measure that
+ * {@link SequentialJudge} has to beat. Its false alarm rate is not bounded.
+ */
+public final class ThresholdJudge implements Judge {
+    private static final long LEAST_CALLS = 100;
+
+    private final BadnessCriteria criteria;
+    private final Map<RouteName, RouteTotals> totals = new HashMap<>();
+    private long calls;
+    private boolean bad;
+    private String reason = "nothing bad";
+
+    private ThresholdJudge(JudgeSettings settings) {
+        this.criteria = settings.criteria();
+    }
+
+    /** Returns the policy. */
+    public static JudgePolicy policy() {
+        return ThresholdJudge::new;
+    }
+
+    @Override
+    public Judgement observe(WindowEvidence window) {
+        for (Stratum stratum : window.strata()) {
+            calls += stratum.to().calls();
+            totals.computeIfAbsent(stratum.route(), ignored -> new RouteTotals())
+                    .add(stratum);
+        }
+        totals.forEach((route, sum) -> Arrays.stream(Signal.values())
+                .filter(signal -> !bad && sum.to.calls() >= LEAST_CALLS && sum.ratio(signal) >= criteria.ratio(signal))
+                .forEach(signal -> {
+                    bad = true;
+                    reason = signal + " on " + route + " by " + sum.ratio(signal);
+                }));
+        boolean enough = !totals.isEmpty() && totals.values().stream().allMatch(sum -> sum.to.calls() >= LEAST_CALLS);
+        Judgement.Finding finding = enough ? Judgement.Finding.PROVEN : Judgement.Finding.THIN;
+        return new Judgement(bad ? Judgement.Finding.BAD : finding, enough ? 1 : 0, bad ? 1 : 0, calls, reason);
+    }
+
+    /** The sums of both versions on one route. */
+    private static final class RouteTotals {
+        private EvidenceCell from = EvidenceCell.empty();
+        private EvidenceCell to = EvidenceCell.empty();
+
+        private void add(Stratum stratum) {
+            from = from.plus(stratum.from());
+            to = to.plus(stratum.to());
+        }
+
+        private double ratio(Signal signal) {
+            if (signal == Signal.ERRORS) {
+                double rate = (double) Math.max(1, from.failures()) / Math.max(1, from.calls());
+                return (double) to.failures() / to.calls() / rate;
+            }
+            int buckets = median(to.latency(signal)) - median(from.latency(signal));
+            return Math.pow(2, (double) buckets / LatencyHistogram.BUCKETS_PER_DOUBLING);
+        }
+
+        private static int median(LatencyHistogram histogram) {
+            int bucket = 0;
+            while (bucket < LatencyHistogram.BUCKETS && histogram.above(bucket) * 2 > histogram.total()) {
+                bucket++;
+            }
+            return bucket;
+        }
+    }
+}
--- /dev/null
+++ b/rollout/src/test/java/coriandersill/rollout/ZoneMoveForecastTest.java
@@ -0,0 +1,47 @@
+package coriandersill.rollout;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.aMapWithSize;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.WorkspaceName;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Covers V9: taking a zone out would overload the rest. */
+class ZoneMoveForecastTest {
+    private static final AvailabilityZone A = AvailabilityZone.of("a");
+    private static final AvailabilityZone B = AvailabilityZone.of("b");
+    private static final WorkspaceName SMALL = WorkspaceName.of("small");
+    private static final WorkspaceName LARGE = WorkspaceName.of("large");
+    private static final WorkspaceName GREEDY = WorkspaceName.of("greedy");
+
+    @Test
+    void onlyThoseAboveTheirShareWouldBeRefused() {
+        ZoneMoveForecast forecast = forecast(60, 40, 10, 50, 80);
+        assertThat(forecast.capacity(), closeTo(60, 1e-9));
+        assertThat(forecast.refused(), aMapWithSize(2));
+        assertThat(forecast.refused().get(LARGE), closeTo(50 - 100.0 / 3, 1e-9));
+        assertThat(forecast.refused().get(GREEDY), closeTo(80 - 50.0 / 3, 1e-9));
+        assertThat(forecast.load().get(B), closeTo(60, 1e-9));
+    }
+
+    @Test
+    void aMoveThatFitsRefusesNobodyAndWithoutAnyZoneAllAreRefused() {
+        assertThat(forecast(200, 40, 10, 50, 80).fits(), is(true));
+        assertThat(forecast(0, 40, 10, 50, 80).refused(), aMapWithSize(3));
+    }
+
+    private static ZoneMoveForecast forecast(double left, double gone, double small, double large, double greedy) {
+        return ZoneMoveForecast.of(
+                List.of(new ZoneMoveForecast.ZoneCapacity(A, gone), new ZoneMoveForecast.ZoneCapacity(B, left)),
+                List.of(
+                        new ZoneMoveForecast.Demand(SMALL, 1, small),
+                        new ZoneMoveForecast.Demand(LARGE, 2, large),
+                        new ZoneMoveForecast.Demand(GREEDY, 1, greedy)),
+                Set.of(A));
+    }
+}
