Route by the router, members by the membership table, admit by prediction; refuse bad input

Cause: the path still chose with the baselines. Ruled out: keeping the directory's own counts beside the router's. Change: the entry's directory keeps ready candidates from the membership table and asks the router; attempts follow the budgeted retry policy; the embedded set admits by prediction with a cold start; twenty-two cases of bad input against the real listeners.

Before: all calls were refused as 'no upstream in service': a connected member lost its listed address, so that the next reading of the list closed the link. Ruled out: the router (it saw all candidates). The member now keeps the address of its link; the entry counts sidecars in service, not connections.

--- a/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedSet.java
+++ b/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedSet.java
@@ -1,6 +1,6 @@
 package coriandersill.daemon.embedded;
 
-import coriandersill.admission.FixedLimitAdmission;
+import coriandersill.admission.PredictiveAdmission;
 import coriandersill.configuration.ApiKeyHash;
 import coriandersill.configuration.Configuration;
 import coriandersill.configuration.Document;
@@ -14,6 +14,7 @@
 import coriandersill.core.AvailabilityZone;
 import coriandersill.core.InstanceId;
 import coriandersill.core.ManagedService;
+import coriandersill.core.MonotonicClock;
 import coriandersill.core.RouteName;
 import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
@@ -59,6 +60,7 @@
     private static final VersionName VERSION = VersionName.of("v1");
     private static final String HOST = "127.0.0.1";
     private static final String API_KEY = "quickstart.secret";
+    private static final long MEMORY_TOKENS = 1_000_000;
     private static final int WORKERS = 4;
     private static final int WORKER_QUEUE = 20_000;
 
@@ -146,7 +148,10 @@
         SidecarSettings settings = new SidecarSettings(
                 WireSettings.of(self), HOST, 0, service, VERSION, HOST, upstreamPort, Duration.ofSeconds(30));
         Sidecar sidecar = Sidecar.builder(settings, vertx, loops, workers)
-                .admission(FixedLimitAdmission.of(plan.concurrency()))
+                .admission(PredictiveAdmission.builder(MonotonicClock.system())
+                        .concurrency(cold(), plan.concurrency())
+                        .memoryTokens(service.equals(SCRIBE) ? MEMORY_TOKENS : 0)
+                        .build())
                 .build();
         sidecars.add(sidecar);
         return sidecar.start()
@@ -180,10 +185,14 @@
         return entry.start();
     }
 
+    private int cold() {
+        return Math.min(4, plan.concurrency());
+    }
+
     private Configuration configuration() {
         Map<DocumentName, Document> documents = new HashMap<>();
-        VersionCapacity engine = new VersionCapacity(Math.min(4, plan.concurrency()), plan.concurrency(), 100_000);
-        VersionCapacity ledger = new VersionCapacity(Math.min(4, plan.concurrency()), plan.concurrency(), 0);
+        VersionCapacity engine = new VersionCapacity(cold(), plan.concurrency(), MEMORY_TOKENS);
+        VersionCapacity ledger = new VersionCapacity(cold(), plan.concurrency(), 0);
         List<PlainRoute> routes = List.of(
                 new PlainRoute(RouteName.of("lookup"), "GET", "/", true),
                 new PlainRoute(RouteName.of("change"), "*", "/", false));
@@ -204,11 +213,11 @@
         return new Configuration(0, documents);
     }
 
-    /** Completes once every entry is connected to every sidecar. */
+    /** Completes once every entry has every sidecar in service. */
     public CompletableFuture<Void> connected() {
         CompletableFuture<Void> connected = new CompletableFuture<>();
         vertx.setPeriodic(10, timer -> {
-            boolean all = entries.stream().allMatch(entry -> entry.connectedSidecars() >= sidecars.size());
+            boolean all = entries.stream().allMatch(entry -> entry.sidecarsInService() >= sidecars.size());
             if (all) {
                 vertx.cancelTimer(timer);
                 connected.complete(null);
--- a/entry/src/main/java/coriandersill/entry/Entry.java
+++ b/entry/src/main/java/coriandersill/entry/Entry.java
@@ -7,8 +7,17 @@
 import coriandersill.entry.internal.EntryContext;
 import coriandersill.entry.internal.EntryParts;
 import coriandersill.events.EventLog;
+import coriandersill.membership.ConnectionPlan;
+import coriandersill.membership.MembershipSettings;
+import coriandersill.membership.MembershipTable;
+import coriandersill.membership.PlanSettings;
+import coriandersill.membership.Regions;
 import coriandersill.platform.InstanceList;
-import coriandersill.routing.LeastInFlight;
+import coriandersill.routing.BudgetedRetry;
+import coriandersill.routing.RetryBudget;
+import coriandersill.routing.RetryPolicy;
+import coriandersill.routing.Router;
+import coriandersill.routing.RouterBuilder;
 import coriandersill.routing.RoutingPolicy;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireListener;
@@ -46,6 +55,7 @@
                 builder.workers,
                 Objects.requireNonNull(builder.configuration, "configuration"),
                 builder.versions,
+                builder.retries(),
                 builder.clock,
                 builder.random,
                 builder.events,
@@ -54,7 +64,9 @@
                 context,
                 builder.loops,
                 Objects.requireNonNull(builder.instances, "instances"),
-                builder.routing,
+                MembershipTable.of(builder.membership, builder.clock),
+                ConnectionPlan.of(builder.connections, Regions.byPrefix()),
+                builder.router(),
                 builder.onceOnly,
                 builder.peerMessages);
     }
@@ -69,9 +81,9 @@
         return parts.port();
     }
 
-    /** How many sidecars are connected. */
-    public int connectedSidecars() {
-        return parts.connectedSidecars();
+    /** How many sidecars a call may go to. */
+    public int sidecarsInService() {
+        return parts.sidecarsInService();
     }
 
     /** How many calls are open. */
@@ -84,6 +96,11 @@
         return parts.unready();
     }
 
+    /** Takes a new configuration into account at once; to be called after the source of configuration has changed. */
+    public void configurationChanged() {
+        parts.configurationChanged();
+    }
+
     /** Sends a message to every connected sidecar, for example a rollout verdict. */
     public void broadcast(Message message) {
         parts.broadcast(message);
@@ -101,6 +118,11 @@
 
     /** Collects the parts of an {@link Entry}; configuration and instances are required. */
     public static final class Builder {
+        private static final double RETRY_RATIO = 0.2;
+        private static final int RETRY_BURST = 50;
+        private static final Duration FIRST_RETRY_DELAY = Duration.ofMillis(10);
+        private static final Duration LONGEST_RETRY_DELAY = Duration.ofMillis(500);
+
         private final EntrySettings settings;
         private final Vertx vertx;
         private final WireLoops loops;
@@ -108,7 +130,9 @@
         private Supplier<Configuration> configuration;
         private InstanceList instances;
         private VersionChoice versions = VersionChoice.current();
-        private RoutingPolicy routing = LeastInFlight.create();
+        private MembershipSettings membership = MembershipSettings.standard();
+        private PlanSettings connections = PlanSettings.standard();
+        private Optional<RoutingPolicy> routing = Optional.empty();
         private OnceOnlyCalls onceOnly = OnceOnlyCalls.unavailable();
         private MonotonicClock clock = MonotonicClock.system();
         private RandomGenerator random = new SecureRandom();
@@ -143,7 +167,19 @@
 
         /** Sets how upstreams are chosen. */
         public Builder routing(RoutingPolicy other) {
-            routing = Objects.requireNonNull(other, "routing");
+            routing = Optional.of(other);
+            return this;
+        }
+
+        /** Sets the limits by which instances are judged live. */
+        public Builder membership(MembershipSettings other) {
+            membership = Objects.requireNonNull(other, "membership");
+            return this;
+        }
+
+        /** Sets how many sidecars the entry connects to. */
+        public Builder connections(PlanSettings other) {
+            connections = Objects.requireNonNull(other, "connections");
             return this;
         }
 
@@ -183,6 +219,21 @@
             return this;
         }
 
+        private Router router() {
+            RouterBuilder router = Router.builder(clock, random);
+            routing.ifPresent(router::policy);
+            return router.build();
+        }
+
+        private RetryPolicy retries() {
+            return BudgetedRetry.of(
+                    RetryBudget.of(RETRY_RATIO, RETRY_BURST),
+                    settings.mostAttempts(),
+                    FIRST_RETRY_DELAY,
+                    LONGEST_RETRY_DELAY,
+                    random);
+        }
+
         /** Returns the entry; throws {@link NullPointerException} without configuration or instances. */
         public Entry build() {
             return new Entry(this);
--- a/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
@@ -6,6 +6,9 @@
 import coriandersill.core.InstanceId;
 import coriandersill.core.Ran;
 import coriandersill.events.EventCode;
+import coriandersill.routing.AttemptFailure;
+import coriandersill.routing.CallResult;
+import coriandersill.routing.RetryDecision;
 import coriandersill.routing.RouteRequest;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireConnection;
@@ -39,7 +42,11 @@
     private final Context context;
     private final CompletableFuture<Ending> ending = new CompletableFuture<>();
     private final Set<InstanceId> excluded = new HashSet<>();
-    private Optional<Selection> selection = Optional.empty();
+    private volatile Optional<Selection> selection = Optional.empty();
+    private RouteRequest request;
+    private long dispatchedNanos;
+    private long firstTokenNanos;
+    private long lastTokenNanos;
     private CallFailure lastFailure = CallFailure.of(ErrorKind.UNAVAILABLE, "no upstream of the service is in service");
     private int attempt;
     private long nextIndex;
@@ -80,6 +87,7 @@
     /** Begins the first attempt; call once, on the call's context. The future completes with how the call ended. */
     CompletableFuture<Ending> start() {
         calls.add(this);
+        entry.retries().started();
         long millis = Math.max(1, remaining().toMillis());
         entry.vertx().setTimer(millis + ANSWER_GRACE_MILLIS, late -> context.runOnContext(now -> overdue()));
         next();
@@ -91,21 +99,22 @@
     }
 
     private void next() {
-        attempt++;
-        if (attempt > entry.settings().mostAttempts() || remaining().isNegative()) {
-            fail(lastFailure);
+        if (ended) {
             return;
         }
-        RouteRequest request = new RouteRequest(
+        attempt++;
+        request = new RouteRequest(
                 plan.service().name(),
                 plan.route(),
                 entry.versions().choose(plan.service(), plan.hash()),
                 entry.settings().zone(),
                 plan.hash(),
                 plan.promptTokens(),
+                plan.predictedTokens(),
                 excluded);
+        RouteRequest wanted = request;
         entry.workers()
-                .submit(() -> directory.select(request, predictedTokens()))
+                .submit(() -> directory.select(wanted))
                 .whenComplete((found, error) -> context.runOnContext(now -> {
                     if (error != null) {
                         fail(CallFailure.from(error));
@@ -117,16 +126,13 @@
                 }));
     }
 
-    private int predictedTokens() {
-        return plan.promptTokens() + plan.maxTokens();
-    }
-
     private void dispatch(Selection found) {
         if (ended) {
-            directory.finished(found.instance(), predictedTokens());
+            directory.finished(found.instance(), request, CallResult.failed(ErrorKind.CANCELLED));
             return;
         }
         selection = Optional.of(found);
+        dispatchedNanos = entry.clock().nanos();
         Message.Target target = new Message.Target(
                 plan.workspace().name().value(),
                 plan.workspace().weight(),
@@ -155,6 +161,11 @@
         }
     }
 
+    /** Whether the present attempt is at a sidecar; may be asked from any thread. */
+    boolean isAt(InstanceId instance) {
+        return selection.filter(found -> found.instance().equals(instance)).isPresent();
+    }
+
     /** Takes a message about this call, from any thread. */
     void received(WireConnection connection, Message.OfCall message) {
         context.runOnContext(now -> {
@@ -207,6 +218,10 @@
         if (payloads.isEmpty()) {
             return;
         }
+        lastTokenNanos = entry.clock().nanos();
+        if (nextIndex == 0) {
+            firstTokenNanos = lastTokenNanos;
+        }
         nextIndex += payloads.size();
         sink.tokens(payloads);
         consumed += payloads.size();
@@ -238,45 +253,38 @@
         CallFailure failure = CallFailure.of(failed.kind(), failed.text())
                 .withRan(failed.ran())
                 .withRetryAfter(failed.retryAfter());
-        boolean nothingDelivered = plan.work().generation() && nextIndex == 0;
-        if (failure.ran() == Ran.NO || nothingDelivered || repeatablePlainCall()) {
-            tryElsewhere(failure);
-        } else if (plan.work().generation()) {
+        if (plan.work().generation() && nextIndex > 0) {
             fail(interrupted(failed.text()));
         } else {
-            fail(failure);
+            tryElsewhere(failure);
         }
     }
 
-    private boolean repeatablePlainCall() {
-        return plan.repeatable() && !plan.work().generation();
-    }
-
     private CallFailure interrupted(String text) {
         return CallFailure.of(ErrorKind.GENERATION_INTERRUPTED, text + "; " + nextIndex + " tokens were delivered");
     }
 
+    /** Makes another attempt elsewhere if the retry policy allows it; else the failure is the answer. */
     private void tryElsewhere(CallFailure failure) {
         lastFailure = failure;
         if (failure.ran() != Ran.NO) {
             mayHaveRan = failure.ran();
         }
         selection.ifPresent(found -> excluded.add(found.instance()));
-        entry.metrics().counter("calls.retried").inc();
-        entry.events()
-                .record(
-                        EventCode.CALL_RETRIED,
-                        Map.of(
-                                "call",
-                                plan.id(),
-                                "attempt",
-                                attempt,
-                                "kind",
-                                failure.kind(),
-                                "why",
-                                failure.getMessage()));
-        leave();
-        next();
+        RetryDecision decision =
+                entry.retries().decide(new AttemptFailure(failure, plan.repeatable(), nextIndex, attempt, remaining()));
+        if (decision instanceof RetryDecision.Retry retry) {
+            entry.metrics().counter("calls.retried").inc();
+            entry.events()
+                    .record(
+                            EventCode.CALL_RETRIED,
+                            Map.of("call", plan.id(), "attempt", attempt, "kind", failure.kind()));
+            leave(CallResult.failed(failure.kind()));
+            long millis = Math.max(1, retry.delay().toMillis());
+            entry.vertx().setTimer(millis, later -> context.runOnContext(now -> next()));
+        } else {
+            fail(failure);
+        }
     }
 
     /** Hears that a connection has ended, from any thread. */
@@ -295,7 +303,7 @@
         if (plan.work().generation() && nextIndex > 0) {
             waitingForResume = true;
             entry.vertx().setTimer(RESUME_PATIENCE_MILLIS, late -> context.runOnContext(now -> resumeOverdue()));
-        } else if (plan.work().generation() || plan.repeatable()) {
+        } else if (plan.repeatable()) {
             tryElsewhere(CallFailure.of(ErrorKind.UNAVAILABLE, "the connection to the sidecar was lost")
                     .withRan(Ran.UNKNOWN));
         } else {
@@ -387,15 +395,21 @@
         end(Optional.empty(), Optional.of(failure));
     }
 
-    private void leave() {
-        selection.ifPresent(found -> directory.finished(found.instance(), predictedTokens()));
+    private void leave(CallResult result) {
+        selection.ifPresent(found -> directory.finished(found.instance(), request, result));
         selection = Optional.empty();
     }
 
+    private CallResult succeeded() {
+        long answered = nextIndex == 0 ? entry.clock().nanos() : firstTokenNanos;
+        long between = nextIndex < 2 ? 0 : (lastTokenNanos - firstTokenNanos) / (nextIndex - 1);
+        return CallResult.ok(answered - dispatchedNanos, between, nextIndex);
+    }
+
     private void end(Optional<Message.PlainResponse> response, Optional<CallFailure> failure) {
         if (!ended) {
             ended = true;
-            leave();
+            leave(failure.map(found -> CallResult.failed(found.kind())).orElseGet(this::succeeded));
             calls.remove(this);
             ending.complete(new Ending(nextIndex, response, failure));
         }
--- a/entry/src/main/java/coriandersill/entry/internal/CallPlan.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallPlan.java
@@ -30,4 +30,11 @@
         long hash,
         int promptTokens,
         int maxTokens,
-        long deadlineNanos) {}
+        long deadlineNanos) {
+    private static final int EXPECTED_TOKENS = 512;
+
+    /** The engine memory that the call is expected to hold, in tokens; 0 for a plain call. */
+    int predictedTokens() {
+        return promptTokens + Math.min(maxTokens, EXPECTED_TOKENS);
+    }
+}
--- a/entry/src/main/java/coriandersill/entry/internal/CallService.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallService.java
@@ -7,6 +7,7 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.GenerationId;
+import coriandersill.core.InstanceId;
 import coriandersill.core.ServiceName;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireConnection;
@@ -100,6 +101,11 @@
         calls.all().forEach(call -> call.disconnected(connection));
     }
 
+    /** Whether no open call is at a sidecar. */
+    boolean noneAt(InstanceId instance) {
+        return calls.all().stream().noneMatch(call -> call.isAt(instance));
+    }
+
     int openCalls() {
         return calls.size();
     }
--- a/entry/src/main/java/coriandersill/entry/internal/EntryContext.java
+++ b/entry/src/main/java/coriandersill/entry/internal/EntryContext.java
@@ -6,6 +6,7 @@
 import coriandersill.entry.EntrySettings;
 import coriandersill.entry.VersionChoice;
 import coriandersill.events.EventLog;
+import coriandersill.routing.RetryPolicy;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
 import java.util.function.Supplier;
@@ -19,6 +20,7 @@
  * @param workers run decisions
  * @param configuration the accepted configuration
  * @param versions chooses versions
+ * @param retries decides whether an attempt is followed by another
  * @param clock times calls
  * @param random draws identities and delays
  * @param events takes events
@@ -30,6 +32,7 @@
         WorkerPool workers,
         Supplier<Configuration> configuration,
         VersionChoice versions,
+        RetryPolicy retries,
         MonotonicClock clock,
         RandomGenerator random,
         EventLog events,
--- a/entry/src/main/java/coriandersill/entry/internal/EntryParts.java
+++ b/entry/src/main/java/coriandersill/entry/internal/EntryParts.java
@@ -3,8 +3,10 @@
 import coriandersill.core.ManagedService;
 import coriandersill.entry.OnceOnlyCalls;
 import coriandersill.events.EventCode;
+import coriandersill.membership.ConnectionPlan;
+import coriandersill.membership.MembershipTable;
 import coriandersill.platform.InstanceList;
-import coriandersill.routing.RoutingPolicy;
+import coriandersill.routing.Router;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireListener;
 import coriandersill.wire.WireLoops;
@@ -25,13 +27,15 @@
             EntryContext entry,
             WireLoops loops,
             InstanceList list,
-            RoutingPolicy policy,
+            MembershipTable members,
+            ConnectionPlan connections,
+            Router router,
             OnceOnlyCalls onceOnly,
             Optional<WireListener> peerMessages) {
         this.entry = entry;
-        this.directory = new SidecarDirectory(policy);
+        this.directory = new SidecarDirectory(members, router, entry.configuration());
         this.calls = new CallService(entry, directory);
-        this.links = new SidecarLinks(entry, loops, list, directory, calls, peerMessages);
+        this.links = new SidecarLinks(entry, loops, list, members, connections, directory, calls, peerMessages);
         this.front = HttpFront.create(entry, calls, onceOnly);
     }
 
@@ -40,10 +44,12 @@
             EntryContext entry,
             WireLoops loops,
             InstanceList list,
-            RoutingPolicy policy,
+            MembershipTable members,
+            ConnectionPlan connections,
+            Router router,
             OnceOnlyCalls onceOnly,
             Optional<WireListener> peerMessages) {
-        return new EntryParts(entry, loops, list, policy, onceOnly, peerMessages);
+        return new EntryParts(entry, loops, list, members, connections, router, onceOnly, peerMessages);
     }
 
     /** The port of the HTTP listener, once started. */
@@ -51,9 +57,9 @@
         return front.port();
     }
 
-    /** How many sidecars are connected. */
-    public int connectedSidecars() {
-        return directory.connected();
+    /** How many sidecars a call may go to. */
+    public int sidecarsInService() {
+        return directory.inService();
     }
 
     /** How many calls are open. */
@@ -72,6 +78,11 @@
         return entry.configuration().get().offset() < 0 ? "no configuration is proven" : null;
     }
 
+    /** Takes a new configuration into account. */
+    public void configurationChanged() {
+        directory.rebuild();
+    }
+
     /** Sends a message to every connected sidecar. */
     public void broadcast(Message message) {
         links.connections().forEach(connection -> connection.send(message));
--- a/entry/src/main/java/coriandersill/entry/internal/SidecarDirectory.java
+++ b/entry/src/main/java/coriandersill/entry/internal/SidecarDirectory.java
@@ -1,155 +1,160 @@
 package coriandersill.entry.internal;
 
+import coriandersill.configuration.Configuration;
+import coriandersill.configuration.VersionCapacity;
+import coriandersill.configuration.ZoneDocument;
 import coriandersill.core.InstanceId;
 import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
 import coriandersill.core.lock.LockRank;
 import coriandersill.core.lock.RankedLock;
+import coriandersill.membership.Member;
+import coriandersill.membership.MemberState;
+import coriandersill.membership.MembershipTable;
+import coriandersill.routing.CallResult;
 import coriandersill.routing.Candidate;
+import coriandersill.routing.CandidateInfo;
+import coriandersill.routing.LoadReport;
 import coriandersill.routing.RouteRequest;
-import coriandersill.routing.RoutingPolicy;
+import coriandersill.routing.Router;
 import coriandersill.wire.Message;
-import coriandersill.wire.PeerIdentity;
 import coriandersill.wire.WireConnection;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
- * The sidecars that this entry is connected to, with their last report and this entry's own calls there.
+ * The sidecars that this entry is connected to, and which of them a call may go to.
  *
- * <p>Guarded by a lock of rank {@link LockRank#ROUTING}.
+ * <p>The candidates of each version are kept ready and built anew when members or the configuration change. Open
+ * connections are guarded by a lock of rank {@link LockRank#CONNECTIONS}; the router is never called under it.
  */
 final class SidecarDirectory {
-    private final RankedLock lock = RankedLock.of(LockRank.ROUTING);
-    private final Map<InstanceId, Known> sidecars = new HashMap<>();
-    private final RoutingPolicy policy;
-
-    SidecarDirectory(RoutingPolicy policy) {
-        this.policy = policy;
+    private final RankedLock lock = RankedLock.of(LockRank.CONNECTIONS);
+    private final Map<InstanceId, Open> connections = new HashMap<>();
+    private final MembershipTable members;
+    private final Router router;
+    private final Supplier<Configuration> configuration;
+    private volatile Map<Served, List<CandidateInfo>> candidates = Map.of();
+
+    SidecarDirectory(MembershipTable members, Router router, Supplier<Configuration> configuration) {
+        this.members = members;
+        this.router = router;
+        this.configuration = configuration;
     }
 
+    private record Served(ServiceName service, VersionName version) {}
+
+    private record Open(WireConnection connection, Optional<Message.Stamp> stamp) {}
+
     void connected(WireConnection connection) {
-        lock.run(() -> {
-            Known known = sidecars.computeIfAbsent(connection.peer().instance(), id -> new Known());
-            known.connection = connection;
-            known.load = Optional.empty();
-            known.stamp = Optional.empty();
-            known.draining = false;
-        });
+        lock.run(() -> connections.put(connection.peer().instance(), new Open(connection, Optional.empty())));
     }
 
-    void disconnected(WireConnection connection) {
-        lock.run(() -> {
-            Known known = sidecars.get(connection.peer().instance());
-            if (known != null && connection.equals(known.connection)) {
-                known.connection = null;
+    /** Forgets a connection; returns false when another has taken its place. */
+    boolean disconnected(WireConnection connection) {
+        return lock.with(() -> {
+            Open open = connections.get(connection.peer().instance());
+            boolean present = open != null && open.connection().equals(connection);
+            if (present) {
+                connections.remove(connection.peer().instance());
             }
+            return present;
         });
     }
 
     void pinged(WireConnection connection, Message.Ping ping) {
-        lock.run(() -> {
-            Known known = sidecars.get(connection.peer().instance());
-            if (known != null && connection.equals(known.connection)) {
-                known.load = ping.load();
-                known.stamp = ping.stamp();
-                known.draining = ping.draining();
-            }
-        });
-    }
-
-    /** Notes which sidecars the platform is about to take away. */
-    void leaving(Set<InstanceId> leaving) {
-        lock.run(() -> sidecars.forEach((id, known) -> known.leaving = leaving.contains(id)));
+        lock.run(() -> connections.computeIfPresent(
+                connection.peer().instance(),
+                (id, open) -> open.connection().equals(connection) ? new Open(connection, ping.stamp()) : open));
+        ping.load()
+                .ifPresent(load -> router.report(
+                        connection.peer().instance(),
+                        new LoadReport(
+                                load.running(),
+                                load.waiting(),
+                                load.limit(),
+                                load.cold(),
+                                load.reservedTokens(),
+                                load.memoryTokens())));
     }
 
-    /** Chooses a sidecar and counts the call there until {@link #finished}. */
-    Optional<Selection> select(RouteRequest request, int predictedTokens) {
-        return lock.with(() -> policy.choose(request, candidates(request)).map(candidate -> {
-            Known known = sidecars.get(candidate.instance());
-            known.inFlight++;
-            known.reservedTokens += predictedTokens;
-            return new Selection(candidate.instance(), candidate.version(), known.connection, known.stamp);
-        }));
+    void forget(InstanceId instance) {
+        router.forget(instance);
     }
 
-    void finished(InstanceId instance, int predictedTokens) {
-        lock.run(() -> {
-            Known known = sidecars.get(instance);
-            if (known != null) {
-                known.inFlight--;
-                known.reservedTokens -= predictedTokens;
+    /** Builds the candidates anew, after members or the configuration have changed. */
+    void rebuild() {
+        Configuration now = configuration.get();
+        Map<Served, List<CandidateInfo>> rebuilt = new HashMap<>();
+        for (Member member : members.inState(MemberState.LIVE)) {
+            if (member.service().isPresent() && member.version().isPresent()) {
+                Served served =
+                        new Served(member.service().get(), member.version().get());
+                Optional<VersionCapacity> capacity = now.service(served.service())
+                        .map(service -> service.versions().get(served.version()));
+                rebuilt.computeIfAbsent(served, key -> new ArrayList<>())
+                        .add(new CandidateInfo(
+                                member.id(),
+                                member.zone(),
+                                served.version(),
+                                capacity.map(VersionCapacity::coldConcurrency).orElse(1),
+                                capacity.map(VersionCapacity::memoryTokens).orElse(0L)));
+            }
+        }
+        now.documents().values().forEach(document -> {
+            if (document instanceof ZoneDocument zone) {
+                router.zoneInService(zone.zone(), zone.inService());
             }
         });
+        candidates = rebuilt;
     }
 
-    /** Whether any sidecar of the service could take a call of the version. */
-    boolean serves(ServiceName service, VersionName version) {
-        return lock.with(() -> sidecars.values().stream()
-                .anyMatch(known -> known.usable()
-                        && known.peer().service().equals(service.value())
-                        && known.peer().version().equals(version.value())));
-    }
-
-    /** The open connection to an instance, if there is one. */
-    Optional<WireConnection> connection(InstanceId instance) {
-        return lock.with(() -> Optional.ofNullable(sidecars.get(instance)).flatMap(known -> known.open()));
+    /** Chooses a sidecar and counts the call there until {@link #finished}. */
+    Optional<Selection> select(RouteRequest request) {
+        Set<InstanceId> excluded = new HashSet<>(request.excluded());
+        List<CandidateInfo> known =
+                candidates.getOrDefault(new Served(request.service(), request.version()), List.of());
+        while (true) {
+            RouteRequest narrowed = new RouteRequest(
+                    request.service(),
+                    request.route(),
+                    request.version(),
+                    request.origin(),
+                    request.affinityHash(),
+                    request.promptTokens(),
+                    request.predictedTokens(),
+                    excluded);
+            Optional<Candidate> choice = router.select(narrowed, known);
+            if (choice.isEmpty()) {
+                return Optional.empty();
+            }
+            Optional<Selection> selection = selection(choice.get());
+            if (selection.isPresent()) {
+                return selection;
+            }
+            router.finished(choice.get().instance(), narrowed, new CallResult(CallResult.Kind.REFUSED, 0, 0, 0));
+            excluded.add(choice.get().instance());
+        }
     }
 
-    int connected() {
-        return lock.with(() -> (int) sidecars.values().stream()
-                .filter(known -> known.open().isPresent())
-                .count());
+    private Optional<Selection> selection(Candidate candidate) {
+        return lock.with(() -> Optional.ofNullable(connections.get(candidate.instance())))
+                .filter(open -> open.connection().open())
+                .map(open -> new Selection(candidate.instance(), candidate.version(), open.connection(), open.stamp()));
     }
 
-    private List<Candidate> candidates(RouteRequest request) {
-        List<Candidate> candidates = new ArrayList<>();
-        sidecars.forEach((id, known) -> {
-            if (known.usable()
-                    && known.peer().service().equals(request.service().value())
-                    && known.peer().version().equals(request.version().value())) {
-                candidates.add(known.candidate(id));
-            }
-        });
-        return candidates;
+    void finished(InstanceId instance, RouteRequest request, CallResult result) {
+        router.finished(instance, request, result);
     }
 
-    /** What is known of one sidecar; guarded by the directory's lock. */
-    private static final class Known {
-        private WireConnection connection;
-        private Optional<Message.Load> load = Optional.empty();
-        private Optional<Message.Stamp> stamp = Optional.empty();
-        private boolean draining;
-        private boolean leaving;
-        private int inFlight;
-        private long reservedTokens;
-
-        Optional<WireConnection> open() {
-            return Optional.ofNullable(connection).filter(WireConnection::open);
-        }
-
-        boolean usable() {
-            return open().isPresent() && !draining && !leaving;
-        }
-
-        PeerIdentity peer() {
-            return connection.peer();
-        }
-
-        Candidate candidate(InstanceId id) {
-            return new Candidate(
-                    id,
-                    peer().zone(),
-                    VersionName.of(peer().version()),
-                    inFlight,
-                    reservedTokens,
-                    load.map(Message.Load::running).orElse(0),
-                    load.map(Message.Load::limit).orElse(1),
-                    load.map(Message.Load::memoryTokens).orElse(0L));
-        }
+    /** How many sidecars a call may go to. */
+    int inService() {
+        return candidates.values().stream().mapToInt(List::size).sum();
     }
 }
--- a/entry/src/main/java/coriandersill/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/coriandersill/entry/internal/SidecarLinks.java
@@ -2,17 +2,29 @@
 
 import coriandersill.core.InstanceId;
 import coriandersill.core.ManagedService;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
 import coriandersill.core.lock.LockRank;
 import coriandersill.core.lock.RankedLock;
 import coriandersill.events.EventCode;
+import coriandersill.membership.ConnectionPlan;
+import coriandersill.membership.ListVerdict;
+import coriandersill.membership.Listing;
+import coriandersill.membership.Member;
+import coriandersill.membership.MemberChange;
+import coriandersill.membership.MemberState;
+import coriandersill.membership.MembershipTable;
+import coriandersill.membership.Role;
 import coriandersill.platform.InstanceList;
 import coriandersill.platform.ListedInstance;
 import coriandersill.wire.Message;
+import coriandersill.wire.PeerIdentity;
 import coriandersill.wire.WireConnection;
 import coriandersill.wire.WireLink;
 import coriandersill.wire.WireListener;
 import coriandersill.wire.WireLoops;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,10 +36,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Keeps links to the sidecars that the instance list names.
+ * Keeps links to the sidecars that the connection plan chooses among the members.
  *
- * <p>A sidecar that has left the list keeps its link as long as the connection proves that it lives. Guarded by a lock
- * of rank {@link LockRank#MEMBERSHIP}.
+ * <p>Links are guarded by a lock of rank {@link LockRank#MEMBERSHIP}.
  */
 final class SidecarLinks implements ManagedService {
     private static final String SIDECAR = "sidecar";
@@ -36,6 +47,8 @@
     private final EntryContext entry;
     private final WireLoops loops;
     private final InstanceList list;
+    private final MembershipTable members;
+    private final ConnectionPlan plan;
     private final SidecarDirectory directory;
     private final CallService calls;
     private final Optional<WireListener> peerMessages;
@@ -51,12 +64,16 @@
             EntryContext entry,
             WireLoops loops,
             InstanceList list,
+            MembershipTable members,
+            ConnectionPlan plan,
             SidecarDirectory directory,
             CallService calls,
             Optional<WireListener> peerMessages) {
         this.entry = entry;
         this.loops = loops;
         this.list = list;
+        this.members = members;
+        this.plan = plan;
         this.directory = directory;
         this.calls = calls;
         this.peerMessages = peerMessages;
@@ -97,6 +114,7 @@
                 Optional.empty(),
                 calls.draining());
         connections.forEach(connection -> connection.send(ping));
+        entry.workers().executeOrRun(this::tick);
     }
 
     private void poll() {
@@ -105,57 +123,134 @@
                 entry.events()
                         .record(EventCode.INSTANCE_LIST_DOUBTED, Map.of("why", String.valueOf(error.getMessage())));
             } else {
-                entry.workers().execute(() -> follow(found));
+                entry.workers().executeOrRun(() -> follow(found));
             }
         });
     }
 
     private void follow(List<ListedInstance> found) {
-        Set<InstanceId> leaving = new HashSet<>();
-        found.stream()
-                .filter(instance -> instance.role().equals(SIDECAR) && instance.leaving())
-                .forEach(instance -> leaving.add(instance.id()));
+        List<Listing> listings = found.stream().map(SidecarLinks::listing).toList();
+        ListVerdict verdict = members.listed(listings);
+        if (!verdict.followed()) {
+            entry.events().record(EventCode.INSTANCE_LIST_DOUBTED, Map.of("why", verdict.doubt()));
+        }
+        changed(verdict.changes());
+        List<Member> entries = members.connectable(Role.ENTRY);
+        List<Member> sidecars = members.connectable(Role.SIDECAR);
+        Set<InstanceId> wanted = plan.sidecarsFor(self(), withSelf(entries), sidecars);
         lock.run(() -> {
-            found.stream().filter(instance -> instance.role().equals(SIDECAR)).forEach(this::link);
-            forgetDead(found);
+            sidecars.stream().filter(member -> wanted.contains(member.id())).forEach(this::link);
+            unlinkUnwanted(sidecars, wanted);
         });
-        directory.leaving(leaving);
         listed = true;
     }
 
-    private void link(ListedInstance instance) {
-        Linked known = links.get(instance.id());
-        if (known != null && known.host().equals(instance.host()) && known.port() == instance.port()) {
+    private static Listing listing(ListedInstance instance) {
+        Role role = instance.role().equals(SIDECAR) ? Role.SIDECAR : Role.ENTRY;
+        Member member = new Member(
+                instance.id(),
+                role,
+                instance.zone(),
+                instance.host(),
+                instance.port(),
+                instance.service(),
+                instance.version());
+        return new Listing(member, instance.leaving());
+    }
+
+    private Member self() {
+        PeerIdentity self = entry.settings().wire().self();
+        return new Member(self.instance(), Role.ENTRY, self.zone(), "", 0, Optional.empty(), Optional.empty());
+    }
+
+    private List<Member> withSelf(List<Member> entries) {
+        Member self = self();
+        List<Member> all = new ArrayList<>(entries);
+        if (all.stream().noneMatch(member -> member.id().equals(self.id()))) {
+            all.add(self);
+        }
+        return all;
+    }
+
+    private void tick() {
+        changed(members.tick());
+    }
+
+    private void changed(List<MemberChange> changes) {
+        if (changes.isEmpty()) {
+            return;
+        }
+        for (MemberChange change : changes) {
+            if (change.after() == MemberState.LIVE) {
+                entry.events()
+                        .record(
+                                EventCode.INSTANCE_JOINED,
+                                Map.of("peer", change.member().id()));
+            } else if (change.before() == MemberState.LIVE) {
+                entry.events()
+                        .record(
+                                EventCode.INSTANCE_LEFT,
+                                Map.of("peer", change.member().id(), "state", change.after()));
+            }
+            if (change.after() == MemberState.GONE) {
+                directory.forget(change.member().id());
+            }
+        }
+        directory.rebuild();
+    }
+
+    private void link(Member member) {
+        Linked known = links.get(member.id());
+        if (known != null && known.host().equals(member.host()) && known.port() == member.port()) {
             return;
         }
         if (known != null) {
             known.link().stop(Duration.ZERO);
         }
         WireLink link = WireLink.create(
-                entry.settings().wire(), loops, instance.host(), instance.port(), new Listener(), entry.random());
-        links.put(instance.id(), new Linked(instance.host(), instance.port(), link));
+                entry.settings().wire(), loops, member.host(), member.port(), new Listener(), entry.random());
+        links.put(member.id(), new Linked(member.host(), member.port(), link));
         link.start();
     }
 
-    private void forgetDead(List<ListedInstance> found) {
+    /** Ends links that are not wanted; one to an instance that leaves stays until its connection ends by itself. */
+    private void unlinkUnwanted(List<Member> connectable, Set<InstanceId> wanted) {
         Set<InstanceId> present = new HashSet<>();
-        found.forEach(instance -> present.add(instance.id()));
+        connectable.forEach(member -> present.add(member.id()));
         links.entrySet().removeIf(known -> {
+            boolean unwanted = present.contains(known.getKey()) && !wanted.contains(known.getKey());
             boolean dead = !present.contains(known.getKey())
                     && known.getValue().link().connection().isEmpty();
-            if (dead) {
+            if ((unwanted && calls.noneAt(known.getKey())) || dead) {
                 known.getValue().link().stop(Duration.ZERO);
+                return true;
             }
-            return dead;
+            return false;
         });
     }
 
+    /** The member at the other end of a link, with the address that the link goes to. */
+    private Member member(PeerIdentity peer) {
+        boolean sidecar = peer.role().equals(SIDECAR);
+        Optional<Linked> linked = lock.with(() -> Optional.ofNullable(links.get(peer.instance())));
+        return new Member(
+                peer.instance(),
+                sidecar ? Role.SIDECAR : Role.ENTRY,
+                peer.zone(),
+                linked.map(Linked::host).orElse(""),
+                linked.map(Linked::port).orElse(0),
+                sidecar ? Optional.of(ServiceName.of(peer.service())) : Optional.empty(),
+                sidecar ? Optional.of(VersionName.of(peer.version())) : Optional.empty());
+    }
+
     /** Hands what comes from sidecars to the directory and to the calls. */
     private final class Listener implements WireListener {
         @Override
         public void connected(WireConnection connection) {
             connections.add(connection);
             directory.connected(connection);
+            PeerIdentity peer = connection.peer();
+            entry.workers().executeOrRun(() -> changed(members.connected(member(peer), peer.incarnation())));
             calls.connected(connection);
             peerMessages.ifPresent(listener -> listener.connected(connection));
             entry.events().record(EventCode.PEER_CONNECTED, Map.of("peer", connection));
@@ -168,15 +263,29 @@
                 return;
             }
             if (message instanceof Message.Ping ping) {
-                directory.pinged(connection, ping);
+                pinged(connection, ping);
             }
             peerMessages.ifPresent(listener -> listener.received(connection, message));
         }
 
+        private void pinged(WireConnection connection, Message.Ping ping) {
+            PeerIdentity peer = connection.peer();
+            entry.workers().executeOrRun(() -> {
+                directory.pinged(connection, ping);
+                changed(members.heard(peer.instance(), peer.incarnation()));
+                if (ping.draining()) {
+                    changed(members.draining(peer.instance(), peer.incarnation()));
+                }
+            });
+        }
+
         @Override
         public void disconnected(WireConnection connection) {
             connections.remove(connection);
-            directory.disconnected(connection);
+            PeerIdentity peer = connection.peer();
+            if (directory.disconnected(connection)) {
+                entry.workers().executeOrRun(() -> changed(members.disconnected(peer.instance(), peer.incarnation())));
+            }
             calls.disconnected(connection);
             peerMessages.ifPresent(listener -> listener.disconnected(connection));
             entry.events().record(EventCode.PEER_LOST, Map.of("peer", connection));
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/BadInputTest.java
@@ -0,0 +1,175 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import coriandersill.daemon.embedded.EmbeddedPlan;
+import coriandersill.daemon.embedded.EmbeddedSet;
+import io.vertx.core.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** HAZARDS section 6, against the real listeners: a clear error, a bounded cost, nothing let in. */
+final class BadInputTest {
+    private static final EmbeddedSet SET = EmbeddedSet.create(EmbeddedPlan.small());
+    private static final String COMPLETIONS = "/v1/completions";
+
+    @BeforeAll
+    static void start() {
+        SET.start().join();
+        SET.connected().join();
+    }
+
+    @AfterAll
+    static void stop() {
+        SET.stop(Duration.ofSeconds(1)).join();
+    }
+
+    static Stream<Arguments> wrongRequests() {
+        return Stream.of(
+                Arguments.of("POST", COMPLETIONS, "{\"model\":", 400, "invalid_request", "expected JSON"),
+                Arguments.of("POST", COMPLETIONS, "", 400, "invalid_request", "expected a JSON object"),
+                Arguments.of("POST", COMPLETIONS, "[1]", 400, "invalid_request", "expected a JSON object, found ARRAY"),
+                Arguments.of("POST", COMPLETIONS, "{\"prompt\":\"x\"}", 400, "invalid_request", "model: expected"),
+                Arguments.of("POST", COMPLETIONS, "{\"model\":\"scribe\"}", 400, "invalid_request", "prompt: expected"),
+                Arguments.of(
+                        "POST",
+                        COMPLETIONS,
+                        "{\"model\":\"scribe\",\"prompt\":\"x\",\"max_tokens\":\"ten\"}",
+                        400,
+                        "invalid_request",
+                        "max_tokens: expected an integer from 1 to 200000, found \"ten\""),
+                Arguments.of(
+                        "POST",
+                        COMPLETIONS,
+                        "{\"model\":\"scribe\",\"prompt\":\"x\",\"stream\":\"yes\"}",
+                        400,
+                        "invalid_request",
+                        "stream: expected true or false"),
+                Arguments.of(
+                        "POST",
+                        COMPLETIONS,
+                        "{\"model\":\"no such/one\",\"prompt\":\"x\"}",
+                        404,
+                        "not_found",
+                        "service"),
+                Arguments.of(
+                        "POST", COMPLETIONS, "{\"model\":\"ledger\",\"prompt\":\"x\"}", 404, "not_found", "ledger"),
+                Arguments.of("GET", COMPLETIONS, "", 400, "invalid_request", "expected POST"),
+                Arguments.of("GET", "/elsewhere", "", 404, "not_found", "path: expected"),
+                Arguments.of("GET", "/services/none/x", "", 404, "not_found", "service: expected"),
+                Arguments.of(
+                        "POST", COMPLETIONS, "x".repeat((4 << 20) + 1), 400, "invalid_request", "at most 4194304"));
+    }
+
+    @ParameterizedTest(name = "{0} {1} -> {3} {4}")
+    @MethodSource("wrongRequests")
+    void aWrongRequestIsToldWhatWasExpectedAndFoundAndDidNotRun(
+            String method, String path, String body, int status, String kind, String text) {
+        long before = SET.engines().stream()
+                .mapToLong(engine -> engine.books().started())
+                .sum();
+        CallerClient caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+        CallerClient.Answer answer =
+                caller.call(SET.entryPort(0), method, path, Map.of(), body).join();
+        caller.close();
+        assertThat(answer.body(), answer.status(), is(status));
+        assertThat(answer.errorKind(), is(kind));
+        assertThat(answer.body(), containsString(text.replace("\"", "\\\"")));
+        assertThat(answer.ran(), is("no"));
+        assertThat(
+                SET.engines().stream()
+                        .mapToLong(engine -> engine.books().started())
+                        .sum(),
+                is(before));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"quickstart.wrong", "quickstart", "nobody.secret", ""})
+    void aKeyThatNobodyHasIsNotLetIn(String key) {
+        CallerClient caller = new CallerClient(key, HttpVersion.HTTP_1_1);
+        CallerClient.Answer answer = caller.call(
+                        SET.entryPort(0), "POST", COMPLETIONS, Map.of(), "{\"model\":\"scribe\",\"prompt\":\"x\"}")
+                .join();
+        caller.close();
+        assertThat(answer.status(), is(401));
+        assertThat(answer.errorKind(), is("unauthenticated"));
+    }
+
+    @Test
+    void hugeHeadersAreRefusedBeforeTheyAreKept() throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), SET.entryPort(0))) {
+            socket.setSoTimeout(20_000);
+            String head = "GET / HTTP/1.1\r\nHost: x\r\nX-Long: " + "a".repeat(64 << 10) + "\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            assertThat(new String(readUntilClosed(socket), StandardCharsets.US_ASCII), containsString(" 431 "));
+        }
+    }
+
+    @ParameterizedTest(name = "a first frame of {0} bytes")
+    @ValueSource(ints = {Integer.MAX_VALUE, -1, (8 << 20) + 1})
+    void aWireFrameWithAWrongLengthClosesOnlyItsOwnConnection(int length) throws IOException {
+        try (Socket socket = new Socket(
+                InetAddress.getLoopbackAddress(), SET.sidecars().get(0).port())) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(length).array());
+            assertThat(readUntilClosed(socket).length, lessThan(1_000));
+        }
+        assertThatTheSetStillServes();
+    }
+
+    @Test
+    void bytesThatAreNoFrameAndAPeerWithoutHelloAreTurnedAway() throws IOException {
+        byte[][] openings = {
+            {0, 0, 0, 3, (byte) 0xff, (byte) 0xff, (byte) 0xff}, // not protobuf
+            {0, 0, 0, 2, (byte) 0x82, 0x7f}, // a cut field
+            {0, 0, 0, 0}, // an empty frame: no hello
+        };
+        for (byte[] opening : openings) {
+            try (Socket socket = new Socket(
+                    InetAddress.getLoopbackAddress(), SET.sidecars().get(0).port())) {
+                socket.setSoTimeout(20_000);
+                socket.getOutputStream().write(opening);
+                assertThat(readUntilClosed(socket).length, lessThan(1_000));
+            }
+        }
+        assertThatTheSetStillServes();
+    }
+
+    private static void assertThatTheSetStillServes() {
+        CallerClient caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+        assertThat(caller.stream(SET.entryPort(0), "scribe", 5).join().texts().size(), is(5));
+        caller.close();
+    }
+
+    private static byte[] readUntilClosed(Socket socket) throws IOException {
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        InputStream in = socket.getInputStream();
+        byte[] buffer = new byte[4_096];
+        try {
+            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                read.write(buffer, 0, count);
+            }
+        } catch (java.net.SocketException reset) {
+            assertThat(reset.getMessage(), containsString("reset"));
+        }
+        return read.toByteArray();
+    }
+}
--- a/sidecar/src/main/java/coriandersill/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/Sidecar.java
@@ -115,7 +115,7 @@
 
     @Override
     public CompletableFuture<Void> start() {
-        expiryTimer = vertx.setPeriodic(EXPIRY_INTERVAL_MILLIS, tick -> workers.execute(gate::tick));
+        expiryTimer = vertx.setPeriodic(EXPIRY_INTERVAL_MILLIS, tick -> workers.executeOrRun(gate::tick));
         pingTimer = vertx.setPeriodic(settings.wire().pingInterval().toMillis(), tick -> ping());
         return server.start();
     }
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/Gate.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/Gate.java
@@ -183,7 +183,7 @@
     void finished(OpenCall call, Completion completion) {
         if (call.end().isPresent()) {
             calls.remove(call);
-            context.workers().execute(() -> release(call, completion));
+            context.workers().executeOrRun(() -> release(call, completion));
         }
     }
 
@@ -206,7 +206,7 @@
         }
         calls.remove(call);
         call.run().ifPresent(UpstreamRun::cancel);
-        context.workers().execute(() -> release(call, Completion.CANCELLED));
+        context.workers().executeOrRun(() -> release(call, Completion.CANCELLED));
     }
 
     void credit(Message.Credit credit) {
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationRun.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationRun.java
@@ -29,6 +29,9 @@
     private static final int LARGEST_EVENT_BYTES = 1 << 20;
     private static final int LARGEST_ERROR_BYTES = 4 << 10;
     private static final int STATUS_OK = 200;
+    private static final int STATUS_BAD_REQUEST = 400;
+    private static final int STATUS_REQUEST_TIMEOUT = 408;
+    private static final int STATUS_SERVER_ERROR = 500;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_UNAVAILABLE = 503;
 
@@ -197,13 +200,21 @@
 
     private void refusedByUpstream(HttpClientResponse response) {
         int status = response.statusCode();
-        boolean busy = status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
+        boolean notRun = status == STATUS_UNAVAILABLE || (status >= STATUS_BAD_REQUEST && status < STATUS_SERVER_ERROR);
         response.body().onComplete(body -> {
             String text = body.succeeded() ? start(body.result()) : "";
-            end(failure(ErrorKind.UPSTREAM_ERROR, busy ? Ran.NO : Ran.YES, "status " + status + ": " + text), false);
+            end(failure(kindOf(status), notRun ? Ran.NO : Ran.YES, "status " + status + ": " + text), false);
         });
     }
 
+    private static ErrorKind kindOf(int status) {
+        boolean wrong = status >= STATUS_BAD_REQUEST
+                && status < STATUS_SERVER_ERROR
+                && status != STATUS_TOO_MANY_REQUESTS
+                && status != STATUS_REQUEST_TIMEOUT;
+        return wrong ? ErrorKind.INVALID_REQUEST : ErrorKind.UPSTREAM_ERROR;
+    }
+
     private static String start(Buffer body) {
         return body.getString(0, Math.min(body.length(), LARGEST_ERROR_BYTES));
     }
--- a/workers/src/main/java/coriandersill/workers/WorkerPool.java
+++ b/workers/src/main/java/coriandersill/workers/WorkerPool.java
@@ -66,6 +66,17 @@
         }
     }
 
+    /**
+     * Runs {@code task} on a worker, or on the calling thread when the queue is full; for tasks that must not be lost.
+     */
+    public void executeOrRun(Runnable task) {
+        try {
+            executor.execute(task);
+        } catch (RejectedExecutionException e) {
+            task.run();
+        }
+    }
+
     /** How many tasks wait for a worker. */
     public int queued() {
         return executor.getQueue().size();
