--- a/idempotency/src/main/java/coriandersill/idempotency/IdempotencyTable.java
+++ b/idempotency/src/main/java/coriandersill/idempotency/IdempotencyTable.java
@@ -70,6 +70,14 @@
         lock.run(() -> decidableFrom = time.equals(Instant.MIN) ? Instant.MIN : time.plus(window.ahead()));
     }
 
+    /**
+     * Notes that the stream's offsets have begun again, so that lower ones are taken; to be followed by
+     * {@link #provenFrom}.
+     */
+    public void offsetsRestarted() {
+        lock.run(() -> nextOffset = Long.MIN_VALUE);
+    }
+
     /** Folds the record at {@code offset}, which the log took at {@code time}; an offset seen before is ignored. */
     public ClaimEffect apply(long offset, Instant time, ClaimRecord record) {
         return lock.with(() -> {
