Judge token latency over four seconds and pace prompts

Cause: in windows of 0.5 s a single iteration with prefill lowered the concurrency ceiling, so that calls waited at 70% load; several prompts in one iteration stalled every decoding call. Change: window 4 s, prompts in progress at most 512 tokens, risk 0.003.

--- a/admission/src/main/java/coriandersill/admission/LatencyGuard.java
+++ b/admission/src/main/java/coriandersill/admission/LatencyGuard.java
@@ -7,8 +7,8 @@
  * and they did not.
  */
 public final class LatencyGuard implements ConcurrencyCeiling {
-    private static final long WINDOW_NANOS = Duration.ofMillis(500).toNanos();
-    private static final int MIN_GAPS = 20;
+    private static final long WINDOW_NANOS = Duration.ofSeconds(4).toNanos();
+    private static final int MIN_GAPS = 100;
     private static final double DECREASE = 0.9;
     private static final int INCREASE_DIVISOR = 50;
     private static final double IN_USE = 0.9;
--- a/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
+++ b/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
@@ -14,8 +14,8 @@
     private int coldConcurrency = 1;
     private int maxConcurrency = 1;
     private long memoryTokens;
-    private double deviations = NormalQuantile.upper(0.01);
-    private long prefillTokens = 8_192;
+    private double deviations = NormalQuantile.upper(0.003);
+    private long prefillTokens = 512;
     private double headroom = 0.05;
     private int maxWaiting = 256;
     private Duration maxWait = Duration.ofMillis(1_200);
@@ -61,7 +61,7 @@
         return this;
     }
 
-    /** Sets the probability, as projected at admission, that the running set outgrows the memory; at first 0.01. */
+    /** Sets the probability, as projected at admission, that the running set outgrows the memory; at first 0.003. */
     public PredictiveAdmissionBuilder overcommitRisk(double probability) {
         require(
                 probability > 0 && probability < 0.5,
@@ -70,7 +70,7 @@
         return this;
     }
 
-    /** Sets the most prompt tokens that await a first token together, at first 8,192; a single prompt may be longer. */
+    /** Sets the most prompt tokens that await a first token together, at first 512; a single prompt may be longer. */
     public PredictiveAdmissionBuilder prefillTokens(long tokens) {
         require(tokens >= 1, "prefillTokens: expected 1 or more, found " + tokens);
         this.prefillTokens = tokens;
