Say "not run" only if no attempt ran, and run the policies through faults

Ruled out: giving up after such an attempt (loses calls that may be repeated). Change: AttemptFailure carries whether an earlier attempt ran; GiveUp carries the answer for the caller. FaultComparison: cold starts, deaths, a zone that leaves and returns. Routing: affinity bound 1.05 before zone preference; reports corrected by tokens per call.

--- a/experiment/src/main/java/coriandersill/experiment/Call.java
+++ b/experiment/src/main/java/coriandersill/experiment/Call.java
@@ -1,6 +1,7 @@
 package coriandersill.experiment;
 
 import coriandersill.core.InstanceId;
+import coriandersill.core.Ran;
 import coriandersill.routing.RouteRequest;
 
 /** One call on its way through the model. */
@@ -14,6 +15,9 @@
     long firstTokenAt;
     long lastTokenAt;
 
+    /** Whether an earlier attempt ran, as far as the entry knows. */
+    Ran ranBefore = Ran.NO;
+
     /** Whether an engine was given the call in any attempt. */
     boolean ran;
 
--- a/experiment/src/main/java/coriandersill/experiment/EngineSpec.java
+++ b/experiment/src/main/java/coriandersill/experiment/EngineSpec.java
@@ -39,7 +39,7 @@
      */
     public static EngineSpec standard() {
         return new EngineSpec(
-                16, 1_600, 400, 256, 1_024, 20_000_000L, 450_000L, 60_000L, 2.5, 4, 8_000_000_000L, 5_000_000_000L);
+                16, 1_600, 400, 256, 1_024, 20_000_000L, 450_000L, 60_000L, 10, 4, 8_000_000_000L, 5_000_000_000L);
     }
 
     /** The memory for running sequences, in tokens. */
--- a/experiment/src/main/java/coriandersill/experiment/EntryModel.java
+++ b/experiment/src/main/java/coriandersill/experiment/EntryModel.java
@@ -92,21 +92,24 @@
     void failed(Call call, CallFailure failure) {
         router.finished(call.instance, call.request, CallResult.failed(failure.kind()));
         Duration remaining = Duration.ofNanos(call.arrival.atNanos() + maxWaitNanos - events.now());
-        RetryDecision decision =
-                retries.decide(new AttemptFailure(failure, true, call.tokens, call.attempt, remaining));
+        AttemptFailure attempt =
+                new AttemptFailure(failure, true, call.tokens, call.attempt, remaining, call.ranBefore);
+        RetryDecision decision = retries.decide(attempt);
         if (decision instanceof RetryDecision.Retry retry) {
             call.request = call.request.excluding(call.instance);
             call.attempt++;
+            call.ranBefore = attempt.ranInAny();
             events.after(retry.delay().toNanos(), () -> attempt(call));
-        } else {
-            listener.failed(call, failure);
+        } else if (decision instanceof RetryDecision.GiveUp giveUp) {
+            listener.failed(call, giveUp.answer());
         }
     }
 
     private void attempt(Call call) {
         Optional<Candidate> choice = router.select(call.request, candidates);
         if (choice.isEmpty()) {
-            listener.failed(call, CallFailure.of(ErrorKind.UNAVAILABLE, "no upstream is left"));
+            CallFailure failure = CallFailure.of(ErrorKind.UNAVAILABLE, "no upstream is left");
+            listener.failed(call, failure.withRan(call.ranBefore));
             return;
         }
         call.instance = choice.get().instance();
--- a/experiment/src/main/java/coriandersill/experiment/Experiment.java
+++ b/experiment/src/main/java/coriandersill/experiment/Experiment.java
@@ -80,6 +80,7 @@
             runs.forEach(run -> table.add(run.join()));
         }
         flood(runner, each, full, table);
+        new FaultComparison(runner, each, table).run(full);
         table.write(Path.of(out), each.name() + ".csv");
     }
 
@@ -94,11 +95,11 @@
                     runner.run(seed -> runner.settings(each, rate, factor, seed), standard)
                             .join());
             table.add(summary);
-            System.out.printf(
+            table.note(String.format(
                     Locale.ROOT,
-                    "  others: first token p99 %.0f ms, between tokens p99 %.1f ms%n",
+                    "others: first token p99 %.0f ms, between tokens p99 %.1f ms",
                     summary.mean(result -> result.firstTokenOthers().p99()),
-                    summary.mean(result -> result.betweenOthers().p99()));
+                    summary.mean(result -> result.betweenOthers().p99())));
         }
     }
 }
--- a/experiment/src/main/java/coriandersill/experiment/Fault.java
+++ b/experiment/src/main/java/coriandersill/experiment/Fault.java
@@ -19,7 +19,7 @@
         ENGINE_DIES,
         /** Operators take the availability zone out. */
         ZONE_OUT,
-        /** Operators bring the availability zone back; its engines are cold. */
+        /** Operators bring the availability zone back; its engines and sidecars have restarted and are cold. */
         ZONE_IN
     }
 }
--- a/experiment/src/main/java/coriandersill/experiment/ResultTable.java
+++ b/experiment/src/main/java/coriandersill/experiment/ResultTable.java
@@ -58,6 +58,11 @@
         summary.results().forEach(result -> lines.add(line(summary, result)));
     }
 
+    /** Prints a remark on the row above. */
+    void note(String text) {
+        out.println("             " + text);
+    }
+
     /** Writes the file {@code name} in {@code folder}, which is created. */
     void write(Path folder, String name) {
         try {
--- a/experiment/src/main/java/coriandersill/experiment/Simulation.java
+++ b/experiment/src/main/java/coriandersill/experiment/Simulation.java
@@ -26,8 +26,10 @@
 public final class Simulation {
     private static final Duration TICK = Duration.ofMillis(20);
     private static final int ASSUMED_LIMIT = 40;
+    private static final double FIRST_ZONE_SHARE = 0.05;
 
     private final RunSettings settings;
+    private final PolicySet policies;
     private final Deployment deployment;
     private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
     private final EventQueue events = new EventQueue(clock);
@@ -39,18 +41,19 @@
 
     private Simulation(RunSettings settings, PolicySet policies) {
         this.settings = settings;
+        this.policies = policies;
         this.deployment = settings.deployment();
         this.recorder = new Recorder(settings);
         SplittableRandom random = new SplittableRandom(settings.seed());
         for (int i = 0; i < deployment.engines(); i++) {
-            sidecars.add(
-                    new SidecarModel(events, policies.admission().apply(clock), deployment.engine(), new AtSidecar()));
+            sidecars.add(sidecar());
             indexes.put(deployment.sidecar(i), i);
         }
         List<CandidateInfo> candidates = deployment.candidates(ASSUMED_LIMIT);
         for (int i = 0; i < deployment.entries(); i++) {
             Router router = Router.builder(clock, random.split())
                     .policy(policies.routing().apply(random.split()))
+                    .zoneRamp(policies.zoneRamp(), policies.zoneRamp().isZero() ? 1 : FIRST_ZONE_SHARE)
                     .build();
             BudgetedRetry retries = BudgetedRetry.of(
                     RetryBudget.of(0.1, 10), 3, Duration.ofMillis(10), Duration.ofMillis(100), random.split());
@@ -127,11 +130,18 @@
         entries.forEach(entry -> entry.router().zoneInService(deployment.zone(zone), inService));
         if (inService) {
             for (int i = zone; i < sidecars.size(); i += deployment.zoneNames().size()) {
-                sidecars.get(i).engine().turnCold();
+                SidecarModel restarted = sidecar();
+                restarted.engine().turnCold();
+                sidecars.set(i, restarted);
+                tick(restarted);
             }
         }
     }
 
+    private SidecarModel sidecar() {
+        return new SidecarModel(events, policies.admission().apply(clock), deployment.engine(), new AtSidecar());
+    }
+
     private long preemptions() {
         return sidecars.stream()
                 .mapToLong(sidecar -> sidecar.engine().preemptions())
--- a/experiment/src/main/java/coriandersill/experiment/StockPolicies.java
+++ b/experiment/src/main/java/coriandersill/experiment/StockPolicies.java
@@ -10,6 +10,7 @@
 import coriandersill.routing.RouterBuilder;
 import coriandersill.routing.RoutingPolicy;
 import coriandersill.routing.ZonePreference;
+import java.time.Duration;
 import java.util.List;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -31,6 +32,11 @@
         return new PolicySet("standard", RouterBuilder::standardPolicy, predictive(engine));
     }
 
+    /** The standard policies without the ramp of a returned availability zone. */
+    static PolicySet withoutZoneRamp(EngineSpec engine) {
+        return new PolicySet("no zone ramp", RouterBuilder::standardPolicy, predictive(engine), Duration.ZERO);
+    }
+
     /** The baselines and the standard policies with one part switched off. */
     static List<PolicySet> variants(EngineSpec engine, int limit) {
         Function<MonotonicClock, AdmissionController> predictive = predictive(engine);
@@ -41,7 +47,7 @@
                 new PolicySet("round-robin, predictive", random -> RoundRobin.create(), predictive),
                 new PolicySet("no prefix affinity", random -> zone(leastLoad(random)), predictive),
                 new PolicySet("no zone preference", random -> affinity(leastLoad(random)), predictive),
-                new PolicySet("no predicted load", random -> affinity(LeastInFlight.create()), predictive),
+                new PolicySet("no predicted load", random -> affinity(zone(LeastInFlight.create())), predictive),
                 standard(engine));
     }
 
@@ -53,6 +59,7 @@
         return clock -> PredictiveAdmission.builder(clock)
                 .concurrency(engine.coldLimit(), MAX_CONCURRENCY)
                 .memoryTokens(engine.memoryTokens())
+                .prefillTokens(engine.prefillChunk() * 3L / 4)
                 .build();
     }
 
--- a/routing/src/main/java/coriandersill/routing/BudgetedRetry.java
+++ b/routing/src/main/java/coriandersill/routing/BudgetedRetry.java
@@ -65,27 +65,31 @@
     @Override
     public RetryDecision decide(AttemptFailure failure) {
         if (failure.tokensDelivered() > 0) {
-            return new RetryDecision.GiveUp("tokens were delivered");
+            return giveUp(failure, "tokens were delivered");
         }
         if (!PASSING.contains(failure.failure().kind())) {
-            return new RetryDecision.GiveUp("the failure would repeat itself");
+            return giveUp(failure, "the failure would repeat itself");
         }
         if (!failure.repeatable() && failure.failure().ran() != Ran.NO) {
-            return new RetryDecision.GiveUp("the call may have run and may not be repeated");
+            return giveUp(failure, "the call may have run and may not be repeated");
         }
         if (failure.attempt() >= maxAttempts) {
-            return new RetryDecision.GiveUp("no attempt is left");
+            return giveUp(failure, "no attempt is left");
         }
         Duration delay = delay(failure.attempt());
         if (delay.compareTo(failure.remaining()) >= 0) {
-            return new RetryDecision.GiveUp("the deadline is too near");
+            return giveUp(failure, "the deadline is too near");
         }
         if (!budget.tryRepeat()) {
-            return new RetryDecision.GiveUp("the retry budget is spent");
+            return giveUp(failure, "the retry budget is spent");
         }
         return new RetryDecision.Retry(delay);
     }
 
+    private static RetryDecision giveUp(AttemptFailure failure, String reason) {
+        return new RetryDecision.GiveUp(reason, failure.failure().withRan(failure.ranInAny()));
+    }
+
     private Duration delay(int attempt) {
         long doubled = firstDelay.toNanos() << Math.min(attempt - 1, LARGEST_DOUBLING);
         long longest = Math.min(doubled, longestDelay.toNanos());
--- a/routing/src/main/java/coriandersill/routing/NoRetry.java
+++ b/routing/src/main/java/coriandersill/routing/NoRetry.java
@@ -16,6 +16,7 @@
 
     @Override
     public RetryDecision decide(AttemptFailure failure) {
-        return new RetryDecision.GiveUp("attempts are never repeated");
+        return new RetryDecision.GiveUp(
+                "attempts are never repeated", failure.failure().withRan(failure.ranInAny()));
     }
 }
--- a/routing/src/main/java/coriandersill/routing/RetryDecision.java
+++ b/routing/src/main/java/coriandersill/routing/RetryDecision.java
@@ -1,5 +1,6 @@
 package coriandersill.routing;
 
+import coriandersill.core.CallFailure;
 import java.time.Duration;
 
 /** What follows a failed attempt. */
@@ -13,9 +14,10 @@
     record Retry(Duration delay) implements RetryDecision {}
 
     /**
-     * No further attempt: the failure is the answer.
+     * No further attempt.
      *
      * @param reason why, for the log
+     * @param answer what the caller is told: the last failure, which says "not run" only if no attempt ran
      */
-    record GiveUp(String reason) implements RetryDecision {}
+    record GiveUp(String reason, CallFailure answer) implements RetryDecision {}
 }
--- a/routing/src/main/java/coriandersill/routing/RouterBuilder.java
+++ b/routing/src/main/java/coriandersill/routing/RouterBuilder.java
@@ -8,7 +8,7 @@
 /** Settings of a {@link Router}; every one has a standard value. */
 public final class RouterBuilder {
     /** How many times the mean load an upstream carries at most for the sake of cached prefixes. */
-    public static final double AFFINITY_BOUND = 1.25;
+    public static final double AFFINITY_BOUND = 1.05;
 
     /** The load of the least loaded local upstream from which other zones are considered. */
     public static final double YIELD_LOAD = 0.7;
@@ -69,7 +69,7 @@
      */
     public static RoutingPolicy standardPolicy(RandomGenerator random) {
         RoutingPolicy leastLoad = LeastPredictedLoad.startingAt(random.nextInt());
-        return ZonePreference.of(YIELD_LOAD, YIELD_DIFFERENCE, PrefixAffinity.of(AFFINITY_BOUND, leastLoad));
+        return PrefixAffinity.of(AFFINITY_BOUND, ZonePreference.of(YIELD_LOAD, YIELD_DIFFERENCE, leastLoad));
     }
 
     RoutingPolicy policy() {
--- a/routing/src/main/java/coriandersill/routing/internal/InstanceTable.java
+++ b/routing/src/main/java/coriandersill/routing/internal/InstanceTable.java
@@ -41,7 +41,8 @@
         state.report = report;
         state.reportedAt = now;
         state.othersInFlight = Math.max(0, report.running() + report.waiting() - state.inFlight);
-        state.othersTokens = Math.max(0, report.reservedTokens() - state.reservedTokens);
+        state.tokensPerCall = report.running() == 0 ? 0 : report.reservedTokens() / (double) report.running();
+        state.othersTokens = (long) (state.othersInFlight * state.tokensPerCall);
     }
 
     /** Forgets an instance. */
@@ -69,7 +70,7 @@
                 info.zone(),
                 info.version(),
                 state.inFlight,
-                state.reservedTokens,
+                Math.max(state.reservedTokens, (long) (state.inFlight * state.tokensPerCall)),
                 (int) Math.round(weight * state.othersInFlight),
                 (long) (weight * state.othersTokens),
                 report == null ? info.limit() : Math.max(1, report.limit()),
@@ -84,5 +85,6 @@
         private long reportedAt;
         private int othersInFlight;
         private long othersTokens;
+        private double tokensPerCall;
     }
 }
--- a/routing/src/test/java/coriandersill/routing/RetryTest.java
+++ b/routing/src/test/java/coriandersill/routing/RetryTest.java
@@ -73,6 +73,19 @@
         }
     }
 
+    @Test
+    void aRefusalAfterAnAttemptThatRanDoesNotSayNotRun() {
+        CallFailure refusal = CallFailure.of(ErrorKind.OVERLOADED, "");
+        for (Ran before : Ran.values()) {
+            AttemptFailure last = new AttemptFailure(refusal, true, 0, 3, MINUTE, before);
+            for (RetryPolicy policy : List.of(policy(RetryBudget.of(0.1, 10)), NoRetry.create())) {
+                CallFailure answer = ((RetryDecision.GiveUp) policy.decide(last)).answer();
+                assertThat(answer.kind(), is(ErrorKind.OVERLOADED));
+                assertThat(answer.ran(), is(before));
+            }
+        }
+    }
+
     @Test
     void underOverloadAttemptsStayWithinTheBudgetedMultipleOfFirstAttempts() {
         BudgetedRetry policy = policy(RetryBudget.of(0.1, 20));
