--- a/rollout/src/main/java/coriandersill/rollout/DeadlinePacer.java
+++ b/rollout/src/main/java/coriandersill/rollout/DeadlinePacer.java
@@ -10,7 +10,9 @@
  * <p>The canary share is at most what exposes half of a hundredth of the traffic up to the deadline, so that a version
  * that is bad at once harms fewer than one caller in a hundred even if it shows only at the end of the canary stage.
  * Without enough evidence the share follows a geometric curve that reaches its end in time. While a zone of the service
- * leaves or returns, and while the evidence comes near an alarm, the share is held as long as the deadline permits.
+ * leaves or returns, the share is held as long as the deadline permits. While the evidence comes near an alarm, the
+ * share does not go beyond a fifth, or beyond where it is, so that the evidence resolves quickly without harming more
+ * callers; evidence that is still near an alarm at the deadline rolls back.
  *
  * <p>At the deadline a rollout in probation is done if the new version has served at least {@link #LEAST_CALLS} calls
  * and nothing shows it bad; any other is rolled back, for want of evidence or of share. A version that nearly nobody
@@ -27,10 +29,11 @@
     private static final double EXPOSED_IN_CANARY = 0.005;
     private static final double CANARY_PART = 0.4;
     private static final double MARGIN_PART = 0.05;
-    private static final double STEP_RATIO = 1.5;
+    private static final double STEP_RATIO = 1.3;
     private static final double STEP_PART = 0.004;
     private static final Duration LEAST_STEP = EvidenceTable.WINDOW.multipliedBy(3);
     private static final double HOLD_SUSPICION = 0.5;
+    private static final double TELLING_SHARE = 0.2;
     private static final double LEAST_INCREASE = 1.1;
 
     private DeadlinePacer() {}
@@ -92,14 +95,15 @@
         if (input.share() >= FULL_SHARE) {
             return new Step(RolloutPhase.PROBATION, input.share(), "full share but the control");
         }
-        if (!late(input) && (suspicious(input) || input.conditions().zoneChanging())) {
-            return stay(input, suspicious(input) ? "held: " + input.judgement().reason() : "a zone is changing");
+        if (suspicious(input) && input.share() >= TELLING_SHARE) {
+            return stay(input, "held: " + input.judgement().reason());
         }
-        double target = input.share();
-        if (input.judgement().finding() == Judgement.Finding.PROVEN && stepOver(input)) {
-            target = input.share() * STEP_RATIO;
+        if (!late(input) && input.conditions().zoneChanging()) {
+            return stay(input, "a zone of the service is changing");
         }
+        double target = stepDue(input) ? input.share() * STEP_RATIO : input.share();
         target = Math.max(target, scheduled(input));
+        target = suspicious(input) ? Math.min(TELLING_SHARE, target) : target;
         target = Math.min(FULL_SHARE, Math.min(target, input.conditions().warmShare()));
         if (target < input.share() * LEAST_INCREASE && target < FULL_SHARE) {
             return stay(input, "next step is not due");
@@ -131,6 +135,10 @@
         if (calls < LEAST_CALLS) {
             return rollBack("thin evidence at the deadline: " + calls + " calls of " + LEAST_CALLS);
         }
+        if (suspicious(input)) {
+            return rollBack(
+                    "near an alarm at the deadline: " + input.judgement().reason());
+        }
         return new Step(RolloutPhase.DONE, 1, "deadline: nothing bad in " + calls + " calls");
     }
 
@@ -156,10 +164,15 @@
         return input.now().isAfter(rampEnd(input.plan()));
     }
 
-    private static boolean stepOver(PaceInput input) {
+    /** Whether the last step has shown enough for the next one: the larger the share, the more. */
+    private static boolean stepDue(PaceInput input) {
         Duration step = part(input.plan(), STEP_PART);
         Duration least = step.compareTo(LEAST_STEP) > 0 ? step : LEAST_STEP;
-        return !input.now().isBefore(input.since().plus(least));
+        double needed = Math.min(1, input.share() / TELLING_SHARE);
+        return input.judgement().finding() == Judgement.Finding.PROVEN
+                && input.judgement().stepProgress() >= needed
+                && !suspicious(input)
+                && !input.now().isBefore(input.since().plus(least));
     }
 
     private static boolean suspicious(PaceInput input) {
--- a/rollout/src/main/java/coriandersill/rollout/ErrorRatios.java
+++ b/rollout/src/main/java/coriandersill/rollout/ErrorRatios.java
@@ -10,7 +10,7 @@
  * both versions share cancels.
  */
 final class ErrorRatios {
-    private static final double[] STEPS = {1.3, 2, 4, 10};
+    private static final double[] STEPS = {1.5, 2.7, 8};
 
     private final double tolerance;
 
--- a/rollout/src/main/java/coriandersill/rollout/FixedSampleJudge.java
+++ b/rollout/src/main/java/coriandersill/rollout/FixedSampleJudge.java
@@ -48,7 +48,7 @@
             finding = Judgement.Finding.BAD;
         }
         String reason = "error rates differ by " + worst + " deviations";
-        return new Judgement(finding, enough ? 1 : 0, Math.max(0, worst / ALARM_DEVIATIONS), calls, reason);
+        return new Judgement(finding, enough ? 1 : 0, 1, Math.max(0, worst / ALARM_DEVIATIONS), calls, reason);
     }
 
     private void decide(RouteName route) {
--- a/rollout/src/main/java/coriandersill/rollout/LatencyHistogram.java
+++ b/rollout/src/main/java/coriandersill/rollout/LatencyHistogram.java
@@ -15,6 +15,7 @@
     /** How many buckets lie between a duration and its double. */
     public static final int BUCKETS_PER_DOUBLING = 4;
 
+    private static final double BUCKETS_PER_NAT = BUCKETS_PER_DOUBLING / Math.log(2);
     private static final double LOWEST_NANOS = 1_000_000;
     private static final LatencyHistogram EMPTY = new LatencyHistogram(new int[BUCKETS]);
 
@@ -44,8 +45,7 @@
         if (nanos <= LOWEST_NANOS) {
             return 0;
         }
-        double doublings = Math.log(nanos / LOWEST_NANOS) / Math.log(2);
-        return (int) Math.min(BUCKETS - 1, Math.floor(doublings * BUCKETS_PER_DOUBLING));
+        return (int) Math.min(BUCKETS - 1, Math.log(nanos / LOWEST_NANOS) * BUCKETS_PER_NAT);
     }
 
     /** Returns the sum of both histograms. */
--- a/rollout/src/main/java/coriandersill/rollout/SequentialJudge.java
+++ b/rollout/src/main/java/coriandersill/rollout/SequentialJudge.java
@@ -25,7 +25,7 @@
  */
 public final class SequentialJudge implements Judge {
     private static final double MAX_LOG_RATIO_PER_WINDOW = 4;
-    private static final double ERROR_TOLERANCE_EXPONENT = 0.2;
+    private static final double ERROR_TOLERANCE_EXPONENT = 0.1;
     private static final double LATENCY_TOLERANCE_EXPONENT = 0.5;
     private static final double EXPECTED_LATENCY_NATS_PER_CALL = 0.1;
     private static final double LEAST_ERROR_RATE = 0.005;
@@ -33,22 +33,20 @@
     private final JudgeSettings settings;
     private final StartWeights weights;
     private final List<Unit> units = new ArrayList<>();
-    private final Map<RouteName, Double> weighedCalls = new HashMap<>();
-    private long fromCalls;
-    private long fromFailures;
-    private long toCalls;
+    private final ErrorRatios errors;
+    private final Map<Place, LatencyRatios> latencies = new HashMap<>();
+    private final EvidenceAmount evidence = new EvidenceAmount();
     private Judgement last = Judgement.none();
 
     private SequentialJudge(JudgeSettings settings) {
         this.settings = settings;
         this.weights = new StartWeights(settings.plannedWindows());
-        double each = settings.falseAlarmRate() / 2 / Signal.values().length;
+        this.errors = new ErrorRatios(tolerance(Signal.ERRORS));
         for (Signal signal : Signal.values()) {
-            units.add(new Unit(signal, null, Math.log(1 / each)));
-            double share = each / settings.routes().size();
-            for (RouteName route : settings.routes()) {
-                units.add(new Unit(signal, route, Math.log(1 / share)));
-            }
+            double rate = settings.falseAlarmRate() * alarmPart(signal) / 2;
+            units.add(new Unit(signal, null, Math.log(1 / rate)));
+            double share = rate / settings.routes().size();
+            settings.routes().forEach(route -> units.add(new Unit(signal, route, Math.log(1 / share))));
         }
     }
 
@@ -63,22 +61,49 @@
             return last;
         }
         double weight = weights.next(window.share());
-        for (Unit unit : units) {
-            unit.observe(window.strata(), weight);
+        for (Signal signal : Signal.values()) {
+            Map<RouteName, double[]> byRoute = new HashMap<>();
+            double[] all = new double[alternatives(signal)];
+            for (Stratum stratum : window.strata()) {
+                double[] ratios = logRatios(signal, stratum);
+                addTo(all, ratios);
+                addTo(byRoute.computeIfAbsent(stratum.route(), ignored -> new double[ratios.length]), ratios);
+            }
+            units.stream()
+                    .filter(unit -> unit.signal == signal)
+                    .forEach(unit -> unit.test.update(
+                            unit.route == null
+                                    ? all
+                                    : byRoute.getOrDefault(unit.route, new double[alternatives(signal)]),
+                            weight));
         }
-        window.strata().forEach(this::count);
+        evidence.nextWindow(window.share());
+        window.strata().forEach(evidence::add);
         last = judgement();
         return last;
     }
 
-    private void count(Stratum stratum) {
-        long from = stratum.from().calls();
-        long to = stratum.to().calls();
-        fromCalls += from;
-        fromFailures += stratum.from().failures();
-        toCalls += to;
-        if (from + to > 0) {
-            weighedCalls.merge(stratum.route(), (double) from * to / (from + to), Double::sum);
+    private double[] logRatios(Signal signal, Stratum stratum) {
+        double[] ratios = new double[alternatives(signal)];
+        if (signal == Signal.ERRORS) {
+            errors.addTo(ratios, stratum.from(), stratum.to());
+        } else {
+            latencies
+                    .computeIfAbsent(
+                            new Place(signal, stratum.route(), stratum.zone()),
+                            ignored -> new LatencyRatios(tolerance(signal)))
+                    .addTo(ratios, stratum.from().latency(signal), stratum.to().latency(signal));
+        }
+        return ratios;
+    }
+
+    private static int alternatives(Signal signal) {
+        return signal == Signal.ERRORS ? ErrorRatios.alternatives() : LatencyRatios.alternatives();
+    }
+
+    private static void addTo(double[] sums, double[] ratios) {
+        for (int i = 0; i < sums.length; i++) {
+            sums[i] += ratios[i];
         }
     }
 
@@ -86,41 +111,35 @@
         Unit strongest =
                 units.stream().max(Comparator.comparingDouble(Unit::suspicion)).orElseThrow();
         double suspicion = strongest.suspicion();
-        double progress = progress();
+        double needed = callsToExpose();
+        double progress = evidence.thinnestRoute() / needed;
         Judgement.Finding finding = Judgement.Finding.THIN;
         if (suspicion >= 1) {
             finding = Judgement.Finding.BAD;
         } else if (progress >= 1) {
             finding = Judgement.Finding.PROVEN;
         }
-        return new Judgement(finding, progress, Math.max(0, suspicion), toCalls, strongest.describe());
+        double stepProgress = evidence.thinnestRouteSinceStep() / needed;
+        return new Judgement(
+                finding, progress, stepProgress, Math.max(0, suspicion), evidence.calls(), strongest.describe());
     }
 
-    private double progress() {
-        if (weighedCalls.isEmpty()) {
-            return 0;
-        }
-        double thinnest = weighedCalls.values().stream()
-                .mapToDouble(Double::doubleValue)
-                .min()
-                .orElse(0);
-        return thinnest / Math.max(callsToExposeErrors(), callsToExposeLatency());
-    }
-
-    private double callsToExposeErrors() {
-        double rate = Math.max(LEAST_ERROR_RATE, fromCalls == 0 ? 0 : (double) fromFailures / fromCalls);
+    /** Returns how many weighed calls on a route let a version that is bad by the criteria raise the alarm. */
+    private double callsToExpose() {
+        double rate = Math.max(LEAST_ERROR_RATE, evidence.oldErrorRate());
         double ratio = settings.criteria().errorRatio();
         double tolerance = tolerance(Signal.ERRORS);
         double natsPerCall = rate * (ratio * Math.log(ratio / tolerance) - (ratio - tolerance));
-        return alarmLevel() / natsPerCall;
+        return alarmLevel() / Math.min(natsPerCall, EXPECTED_LATENCY_NATS_PER_CALL);
     }
 
-    private double callsToExposeLatency() {
-        return alarmLevel() / EXPECTED_LATENCY_NATS_PER_CALL;
+    private double alarmLevel() {
+        return units.stream().mapToDouble(unit -> unit.alarm).max().orElseThrow();
     }
 
-    private double alarmLevel() {
-        return Math.log(2.0 * Signal.values().length * settings.routes().size() / settings.falseAlarmRate());
+    /** Returns the part of the false alarm rate that a signal may use: failures are rare and need the most calls. */
+    private static double alarmPart(Signal signal) {
+        return signal == Signal.ERRORS ? 0.8 : 0.1;
     }
 
     private double tolerance(Signal signal) {
@@ -128,47 +147,18 @@
         return Math.pow(settings.criteria().ratio(signal), exponent);
     }
 
-    /** One signal on one route, or on all of them. */
-    private final class Unit {
+    /** One signal on one route, or on all of them when the route is null. */
+    private static final class Unit {
         private final Signal signal;
         private final RouteName route;
         private final double alarm;
         private final SequentialTest test;
-        private final ErrorRatios errors;
-        private final Map<Place, LatencyRatios> latencies = new HashMap<>();
 
         private Unit(Signal signal, RouteName route, double alarm) {
             this.signal = signal;
             this.route = route;
             this.alarm = alarm;
-            int alternatives = signal == Signal.ERRORS ? ErrorRatios.alternatives() : LatencyRatios.alternatives();
-            this.test = new SequentialTest(alternatives, MAX_LOG_RATIO_PER_WINDOW);
-            this.errors = new ErrorRatios(tolerance(signal));
-        }
-
-        private void observe(List<Stratum> strata, double weight) {
-            int alternatives = signal == Signal.ERRORS ? ErrorRatios.alternatives() : LatencyRatios.alternatives();
-            double[] logRatios = new double[alternatives];
-            for (Stratum stratum : strata) {
-                if (route == null || route.equals(stratum.route())) {
-                    addTo(logRatios, stratum);
-                }
-            }
-            test.update(logRatios, weight);
-        }
-
-        private void addTo(double[] logRatios, Stratum stratum) {
-            if (signal == Signal.ERRORS) {
-                errors.addTo(logRatios, stratum.from(), stratum.to());
-                return;
-            }
-            latencies
-                    .computeIfAbsent(
-                            new Place(stratum.route(), stratum.zone()), ignored -> new LatencyRatios(tolerance(signal)))
-                    .addTo(
-                            logRatios,
-                            stratum.from().latency(signal),
-                            stratum.to().latency(signal));
+            this.test = new SequentialTest(alternatives(signal), MAX_LOG_RATIO_PER_WINDOW);
         }
 
         private double suspicion() {
@@ -186,5 +176,5 @@
         }
     }
 
-    private record Place(RouteName route, AvailabilityZone zone) {}
+    private record Place(Signal signal, RouteName route, AvailabilityZone zone) {}
 }
--- a/rollout/src/main/java/coriandersill/rollout/StartWeights.java
+++ b/rollout/src/main/java/coriandersill/rollout/StartWeights.java
@@ -7,9 +7,9 @@
  * load), and evenly spaced windows share the rest (bad only later).
  */
 final class StartWeights {
-    private static final double FIRST = 0.4;
-    private static final double STEPS = 0.3;
-    private static final double LATER = 0.3;
+    private static final double FIRST = 0.3;
+    private static final double STEPS = 0.5;
+    private static final double LATER = 0.2;
     private static final int MAX_STEPS = 10;
     private static final int LATER_STARTS = 96;
     private static final double STEP_RATIO = 1.5;
--- a/rollout/src/main/java/coriandersill/rollout/ThresholdJudge.java
+++ b/rollout/src/main/java/coriandersill/rollout/ThresholdJudge.java
@@ -42,7 +42,7 @@
                 }));
         boolean enough = !totals.isEmpty() && totals.values().stream().allMatch(sum -> sum.to.calls() >= LEAST_CALLS);
         Judgement.Finding finding = enough ? Judgement.Finding.PROVEN : Judgement.Finding.THIN;
-        return new Judgement(bad ? Judgement.Finding.BAD : finding, enough ? 1 : 0, bad ? 1 : 0, calls, reason);
+        return new Judgement(bad ? Judgement.Finding.BAD : finding, enough ? 1 : 0, 1, bad ? 1 : 0, calls, reason);
     }
 
     /** The sums of both versions on one route. */
--- /dev/null
+++ b/rollout/src/test/java/coriandersill/rollout/SequentialJudgeTest.java
@@ -0,0 +1,175 @@
+package coriandersill.rollout;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.RouteName;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** Covers V1 to V4 for the judge alone; moves as a whole are simulated in the bench module. */
+class SequentialJudgeTest {
+    private static final RouteName CHAT = RouteName.of("chat");
+    private static final RouteName NOTES = RouteName.of("notes");
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("a");
+    private static final int WINDOWS = 200;
+    private static final long RUNS = 400;
+
+    /** How the two versions behave in a window: failure rates and latency factors by route. */
+    private interface World {
+        Stratum stratum(Random random, RouteName route, int window);
+    }
+
+    @Test
+    void lookingAfterEveryWindowKeepsTheStatedFalseAlarmRate() {
+        assertThat(alarms(SequentialJudge.policy(), 0.05), lessThanOrEqualTo(0.05));
+    }
+
+    @Test
+    void aFixedSizeTestLookedAtAfterEveryWindowFailsTheSameCheck() {
+        assertThat(alarms(LookingTooOften::new, 0.05), greaterThan(0.05));
+    }
+
+    @Test
+    void aVersionThatFailsThreeTimesAsOftenIsFoundBadWithTheRouteNamed() {
+        Judgement judgement = judge(
+                5, (random, route, window) -> stratum(random, route, 0.02, route.equals(NOTES) ? 0.06 : 0.02, 1, 1));
+        assertThat(judgement.finding(), is(Judgement.Finding.BAD));
+        assertThat(judgement.reason(), containsString("errors on notes"));
+    }
+
+    @Test
+    void aVersionThatTurnsSlowLateIsNotShieldedByItsGoodStart() {
+        Judgement judgement = judge(
+                6, (random, route, window) -> stratum(random, route, 0.01, 0.01, 1, window > WINDOWS * 3 / 4 ? 2 : 1));
+        assertThat(judgement.finding(), is(Judgement.Finding.BAD));
+        assertThat(judgement.reason(), containsString("token"));
+    }
+
+    @Test
+    void whatOldAndNewSufferAlikeIsNotBlamedOnTheNewVersion() {
+        for (long seed = 0; seed < 50; seed++) {
+            Judgement judgement = judge(
+                    seed,
+                    (random, route, window) -> window % 50 < 20
+                            ? stratum(random, route, 0.3, 0.3, 3, 3)
+                            : stratum(random, route, 0.01, 0.01, 1, 1));
+            assertThat("seed " + seed, judgement.finding(), is(Judgement.Finding.PROVEN));
+        }
+    }
+
+    @Test
+    void thinTrafficIsCalledThinAndNotGood() {
+        Judge judge = SequentialJudge.policy().begin(settings(0.01));
+        Judgement judgement = judge.observe(new WindowEvidence(
+                0, 0.01, List.of(new Stratum(CHAT, ZONE, cell(200, 2, 1, new Random(1)), EvidenceCell.empty()))));
+        assertThat(judgement.finding(), is(Judgement.Finding.THIN));
+        assertThat(judgement.calls(), is(0L));
+    }
+
+    @Test
+    void oneBurstOfFailuresInOneWindowRaisesNoAlarm() {
+        Judgement judgement =
+                judge(7, (random, route, window) -> stratum(random, route, 0.01, window == 50 ? 0.5 : 0.01, 1, 1));
+        assertThat(judgement.finding(), is(Judgement.Finding.PROVEN));
+    }
+
+    @Test
+    void aFindingOfBadIsNotTakenBack() {
+        Judge judge = SequentialJudge.policy().begin(settings(0.01));
+        Random random = new Random(8);
+        List<Judgement> judgements = new ArrayList<>();
+        for (int window = 0; window < WINDOWS; window++) {
+            double bad = window < WINDOWS / 2 ? 0.5 : 0.001;
+            List<Stratum> strata = List.of(stratum(random, CHAT, 0.01, bad, 1, 1));
+            judgements.add(judge.observe(new WindowEvidence(window, 0.3, strata)));
+        }
+        Judgement last = judgements.get(WINDOWS - 1);
+        assertThat(judgements.get(WINDOWS / 2), is(last));
+        assertThat(last.finding(), is(Judgement.Finding.BAD));
+    }
+
+    private static double alarms(JudgePolicy policy, double rate) {
+        return (double) LongStream.range(0, RUNS)
+                        .filter(seed -> judge(
+                                                policy,
+                                                rate,
+                                                seed,
+                                                (random, route, window) -> stratum(random, route, 0.05, 0.05, 1, 1))
+                                        .finding()
+                                == Judgement.Finding.BAD)
+                        .count()
+                / RUNS;
+    }
+
+    private static Judgement judge(long seed, World world) {
+        return judge(SequentialJudge.policy(), 0.002, seed, world);
+    }
+
+    private static Judgement judge(JudgePolicy policy, double rate, long seed, World world) {
+        Judge judge = policy.begin(settings(rate));
+        Random random = new Random(seed);
+        Judgement judgement = Judgement.none();
+        for (int window = 0; window < WINDOWS; window++) {
+            List<Stratum> strata = List.of(world.stratum(random, CHAT, window), world.stratum(random, NOTES, window));
+            judgement = judge.observe(new WindowEvidence(window, 0.3, strata));
+        }
+        return judgement;
+    }
+
+    private static JudgeSettings settings(double rate) {
+        return new JudgeSettings(new BadnessCriteria(3, 2, 2), Set.of(CHAT, NOTES), rate, WINDOWS);
+    }
+
+    private static Stratum stratum(
+            Random random, RouteName route, double oldRate, double newRate, double oldFactor, double newFactor) {
+        EvidenceCell from = cell(70, failures(random, 70, oldRate), oldFactor, random);
+        return new Stratum(route, ZONE, from, cell(30, failures(random, 30, newRate), newFactor, random));
+    }
+
+    private static int failures(Random random, int calls, double rate) {
+        return (int) LongStream.range(0, calls)
+                .filter(call -> random.nextDouble() < rate)
+                .count();
+    }
+
+    private static EvidenceCell cell(int calls, int failures, double factor, Random random) {
+        int[] counts = new int[LatencyHistogram.BUCKETS];
+        for (int call = failures; call < calls; call++) {
+            double nanos = 40_000_000 * factor * Math.exp(0.4 * random.nextGaussian());
+            counts[LatencyHistogram.bucketOf((long) nanos)]++;
+        }
+        LatencyHistogram latency = LatencyHistogram.of(counts);
+        return new EvidenceCell(calls, failures, latency, latency);
+    }
+
+    /** The broken variant: a test at a fixed level, repeated after every window. */
+    private static final class LookingTooOften implements Judge {
+        private EvidenceCell from = EvidenceCell.empty();
+        private EvidenceCell to = EvidenceCell.empty();
+        private Judgement last = Judgement.none();
+
+        private LookingTooOften(JudgeSettings settings) {}
+
+        @Override
+        public Judgement observe(WindowEvidence window) {
+            for (Stratum stratum : window.strata()) {
+                from = from.plus(stratum.from());
+                to = to.plus(stratum.to());
+            }
+            Judge test = FixedSampleJudge.policy(1).begin(settings(0.05));
+            Judgement now = test.observe(new WindowEvidence(0, 0.3, List.of(new Stratum(CHAT, ZONE, from, to))));
+            boolean alarm = now.suspicion() * 3.3 >= 1.645;
+            last = alarm ? new Judgement(Judgement.Finding.BAD, 1, 1, 1, to.calls(), "alarm") : last;
+            return last;
+        }
+    }
+}
