Add rollout-log: rollouts on the log, evidence to collectors, rollback without the log

Ruled out: evidence from all to all (350 times 350 messages a window); a rollback that is announced before the log has it (two processes could announce different verdicts); waiting for the log to have been read before the declaration is recorded (an empty stream answers no long poll; the fold refuses what does not follow).

Found by the tests: a new holder that repeats the state did not fence its predecessor; the fold now remembers the token of a repeated record too.

--- /dev/null
+++ b/rollout-log/src/test/java/coriandersill/rollout/log/Entries.java
@@ -0,0 +1,192 @@
+package coriandersill.rollout.log;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.InstanceId;
+import coriandersill.core.ManualClock;
+import coriandersill.core.RouteName;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.events.EventCode;
+import coriandersill.platform.ManualScheduler;
+import coriandersill.rollout.BadnessCriteria;
+import coriandersill.rollout.CallSample;
+import coriandersill.rollout.RolloutId;
+import coriandersill.rollout.RolloutPhase;
+import coriandersill.rollout.RolloutPlan;
+import coriandersill.rollout.RolloutState;
+import coriandersill.rollout.TrafficSplit;
+import coriandersill.standins.platform.InMemoryLog;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+
+/** Several entries with traffic over one log, in virtual time. */
+final class Entries {
+    static final ServiceName SERVICE = ServiceName.of("scribe");
+    static final VersionName V2 = VersionName.of("v2");
+    private static final VersionName V1 = VersionName.of("v1");
+    private static final RouteName ROUTE = RouteName.of("chat");
+    private static final int CALLS_PER_SECOND = 60;
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+    private final ManualScheduler scheduler = ManualScheduler.of(clock);
+    private final InMemoryLog log = InMemoryLog.of(clock);
+    private final List<InstanceId> names = new ArrayList<>();
+    private final List<RolloutService> services = new ArrayList<>();
+    private final Map<InstanceId, Long> tokens = new HashMap<>();
+    private final List<RolloutState> states = new ArrayList<>();
+    private final Random random = new Random(20);
+    private double failureRateOfNew = 0.02;
+    private long callsToNew;
+    private long fenced;
+    private int largestMessage;
+
+    static Entries of(int count) {
+        Entries entries = new Entries();
+        for (int i = 0; i < count; i++) {
+            entries.names.add(InstanceId.of("entry-" + i));
+        }
+        entries.names.forEach(entries::start);
+        return entries;
+    }
+
+    private void start(InstanceId name) {
+        RolloutService service = RolloutService.builder(name, 1, log, scheduler)
+                .clock(clock)
+                .random(new Random(7))
+                .leases(lease -> tokens.containsKey(name) ? OptionalLong.of(tokens.get(name)) : OptionalLong.empty())
+                .peers(new Peers())
+                .listener(states::add)
+                .events((code, details) -> fenced += code == EventCode.ORDER_FENCED ? 1 : 0)
+                .build();
+        services.add(service);
+        service.start();
+    }
+
+    RolloutId declare(long offset, Duration total) {
+        RolloutId id = new RolloutId(SERVICE, offset);
+        RolloutPlan plan = new RolloutPlan(
+                id,
+                V1,
+                V2,
+                clock.instant(),
+                clock.instant().plus(total),
+                0.05,
+                Duration.ofMinutes(5),
+                new BadnessCriteria(3, 2, 2));
+        services.forEach(service -> service.declare(plan, Set.of(ROUTE)));
+        return id;
+    }
+
+    /** Gives the lease of the service to one of its collectors, by number among them. */
+    void lease(int collector, long token) {
+        List<InstanceId> collectors = names.stream()
+                .filter(name -> services.get(names.indexOf(name)).collects(SERVICE))
+                .toList();
+        tokens.put(collectors.get(collector), token);
+    }
+
+    void run(Duration length) {
+        for (long second = 0; second < length.toSeconds(); second++) {
+            services.forEach(this::call);
+            scheduler.advance(SECOND);
+        }
+    }
+
+    void runUntilAnyStop(Duration atMost) {
+        for (long second = 0; second < atMost.toSeconds(); second++) {
+            if (services.stream().anyMatch(service -> service.stopped(SERVICE, V2))) {
+                return;
+            }
+            run(SECOND);
+        }
+        throw new AssertionError("no entry stopped the version within " + atMost);
+    }
+
+    void failuresOfNew(double rate) {
+        failureRateOfNew = rate;
+    }
+
+    void withdraw(RolloutId id) {
+        services.forEach(service -> service.withdraw(id));
+    }
+
+    InMemoryLog log() {
+        return log;
+    }
+
+    RolloutService service(int number) {
+        return services.get(number);
+    }
+
+    long callsToNew() {
+        return callsToNew;
+    }
+
+    long fenced() {
+        return fenced;
+    }
+
+    int largestMessage() {
+        return largestMessage;
+    }
+
+    List<Double> shares() {
+        return services.stream().map(service -> service.shareOfNew(SERVICE)).toList();
+    }
+
+    List<RolloutPhase> verdicts(RolloutId id) {
+        return services.stream()
+                .map(service -> service.verdict(id).getNow(null))
+                .map(state -> state == null ? null : state.phase())
+                .toList();
+    }
+
+    List<RolloutState> terminalStates() {
+        return states.stream().filter(state -> state.phase().terminal()).toList();
+    }
+
+    List<Long> appliedTokens() {
+        return states.stream().map(RolloutState::fencingToken).toList();
+    }
+
+    boolean tokensInOrder() {
+        List<Long> applied = appliedTokens();
+        return applied.equals(applied.stream().sorted().toList());
+    }
+
+    private void call(RolloutService service) {
+        for (int i = 0; i < CALLS_PER_SECOND; i++) {
+            long hash = TrafficSplit.hashOf("prefix-" + random.nextInt(100_000));
+            VersionName version = service.versionFor(SERVICE, hash).orElse(V1);
+            boolean isNew = version.equals(V2);
+            callsToNew += isNew ? 1 : 0;
+            boolean failed = random.nextDouble() < (isNew ? failureRateOfNew : 0.02);
+            long first = (long) (400e6 * Math.exp(0.5 * random.nextGaussian()));
+            long between = (long) (35e6 * Math.exp(0.25 * random.nextGaussian()));
+            service.record(
+                    new CallSample(SERVICE, version, ROUTE, AvailabilityZone.of("zone-a"), failed, first, between));
+        }
+    }
+
+    private final class Peers implements RolloutPeers {
+        @Override
+        public Collection<InstanceId> entries() {
+            return names;
+        }
+
+        @Override
+        public void send(InstanceId to, byte[] message) {
+            largestMessage = Math.max(largestMessage, message.length);
+            services.get(names.indexOf(to)).accept(message);
+        }
+    }
+}
--- /dev/null
+++ b/rollout-log/src/test/java/coriandersill/rollout/log/RolloutServiceTest.java
@@ -0,0 +1,139 @@
+package coriandersill.rollout.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.VersionName;
+import coriandersill.rollout.RolloutId;
+import coriandersill.rollout.RolloutPhase;
+import coriandersill.rollout.RolloutState;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Covers V1, V5 to V7 and V10 over a log in memory, with three entries in virtual time. */
+class RolloutServiceTest {
+    private final Entries entries = Entries.of(3);
+
+    @Test
+    void aGoodVersionTakesAllTrafficAndEveryEntrySaysSoOnce() {
+        RolloutId id = entries.declare(1, Duration.ofMinutes(40));
+        entries.lease(0, 7);
+        entries.run(Duration.ofMinutes(41));
+        assertThat(entries.verdicts(id), is(List.of(RolloutPhase.DONE, RolloutPhase.DONE, RolloutPhase.DONE)));
+        assertThat(entries.shares(), everyItem(is(1.0)));
+        assertThat(entries.terminalStates(), hasSize(3));
+        assertThat(entries.service(1).versionFor(Entries.SERVICE, 5).orElseThrow(), is(Entries.V2));
+    }
+
+    @Test
+    void aBadVersionGetsNothingMoreFromAnyEntryWithinSecondsThoughTheLogIsDown() {
+        RolloutId id = entries.declare(1, Duration.ofMinutes(40));
+        entries.lease(0, 7);
+        entries.run(Duration.ofMinutes(2));
+        assertThat(entries.shares(), everyItem(greaterThan(0.0)));
+        entries.log().faults().down(true);
+        entries.failuresOfNew(0.9);
+        entries.run(Duration.ofMinutes(3));
+        assertThat(entries.shares(), everyItem(is(0.0)));
+        assertThat(entries.terminalStates(), is(empty()));
+        long sent = entries.callsToNew();
+        entries.run(Duration.ofMinutes(1));
+        assertThat(entries.callsToNew(), is(sent));
+        entries.log().faults().down(false);
+        entries.run(Duration.ofMinutes(1));
+        assertThat(
+                entries.verdicts(id),
+                is(List.of(RolloutPhase.ROLLED_BACK, RolloutPhase.ROLLED_BACK, RolloutPhase.ROLLED_BACK)));
+        assertThat(entries.terminalStates(), hasSize(3));
+        RolloutState state = entries.terminalStates().get(0);
+        assertThat(state.evidence(), containsString("errors on"));
+    }
+
+    @Test
+    void theOldVersionsShareFallsWithinTwoSecondsOfTheFindingWhetherTheLogIsUpOrDown() {
+        for (boolean down : new boolean[] {false, true}) {
+            Entries fresh = Entries.of(3);
+            fresh.declare(1, Duration.ofMinutes(40));
+            fresh.lease(0, 7);
+            fresh.run(Duration.ofMinutes(2));
+            fresh.log().faults().down(down);
+            fresh.failuresOfNew(0.9);
+            fresh.runUntilAnyStop(Duration.ofMinutes(5));
+            fresh.run(Duration.ofSeconds(2));
+            assertThat("log down: " + down, fresh.shares(), everyItem(is(0.0)));
+        }
+    }
+
+    @Test
+    void aHolderThatWakesAfterItsSuccessorCannotMoveTheRollout() {
+        entries.declare(1, Duration.ofMinutes(40));
+        entries.lease(0, 7);
+        entries.run(Duration.ofMinutes(1));
+        entries.lease(1, 9);
+        entries.run(Duration.ofMinutes(39));
+        assertThat(entries.fenced(), is(greaterThan(0L)));
+        assertThat(entries.appliedTokens(), everyItem(is(greaterThan(6L))));
+        assertThat(entries.tokensInOrder(), is(true));
+    }
+
+    @Test
+    void aSecondRolloutOfAServiceBeginsOnlyAfterTheVerdictOnTheFirst() {
+        RolloutId first = entries.declare(1, Duration.ofMinutes(40));
+        RolloutId second = entries.declare(2, Duration.ofMinutes(60));
+        entries.lease(0, 7);
+        entries.run(Duration.ofMinutes(2));
+        assertThat(
+                entries.service(0).status(Entries.SERVICE).orElseThrow().plan().id(), is(first));
+        entries.withdraw(first);
+        entries.run(Duration.ofMinutes(3));
+        assertThat(entries.verdicts(first), everyItem(is(RolloutPhase.ROLLED_BACK)));
+        assertThat(
+                entries.service(2).status(Entries.SERVICE).orElseThrow().plan().id(), is(second));
+        assertThat(entries.shares(), everyItem(greaterThan(0.0)));
+    }
+
+    @Test
+    void withoutALeaseNothingGoesForward() {
+        entries.declare(1, Duration.ofMinutes(10));
+        entries.run(Duration.ofMinutes(11));
+        assertThat(entries.log().appends(), is(0L));
+        assertThat(entries.shares(), everyItem(is(0.0)));
+    }
+
+    @Test
+    void aMessageThatIsNoRolloutMessageIsRefusedAndUnknownFieldsAreIgnored() {
+        for (String text : List.of("{", "{\"verdicts\":[{}]}", "{\"evidence\":[{\"service\":\"s\"}]}")) {
+            CallFailure failure = assertThrows(
+                    CallFailure.class, () -> entries.service(0).accept(text.getBytes(StandardCharsets.UTF_8)), text);
+            assertThat(failure.kind(), is(ErrorKind.INVALID_REQUEST));
+        }
+        entries.service(0).accept("{\"later\":1}".getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void aReportOfOneEntryStaysSmall() {
+        entries.declare(1, Duration.ofMinutes(40));
+        entries.lease(0, 7);
+        entries.run(Duration.ofMinutes(5));
+        assertThat(entries.largestMessage(), is(lessThan(1200)));
+    }
+
+    @Test
+    void aStoppedVersionIsKnownToSidecarsByName() {
+        RolloutId id = entries.declare(1, Duration.ofMinutes(40));
+        entries.withdraw(id);
+        assertThat(entries.service(0).stopped(Entries.SERVICE, Entries.V2), is(true));
+        assertThat(entries.service(0).stopped(Entries.SERVICE, VersionName.of("v1")), is(false));
+    }
+}
--- a/rollout/src/main/java/coriandersill/rollout/DeadlinePacer.java
+++ b/rollout/src/main/java/coriandersill/rollout/DeadlinePacer.java
@@ -7,12 +7,14 @@
  * Keeps the share small until the version is proven, then raises it as fast as its upstreams bear it, and decides at
  * the deadline.
  *
- * <p>The canary share is at most what exposes half of a hundredth of the traffic up to the deadline, so that a version
- * that is bad at once harms fewer than one caller in a hundred even if it shows only at the end of the canary stage.
- * Without enough evidence the share follows a geometric curve that reaches its end in time. While a zone of the service
- * leaves or returns, the share is held as long as the deadline permits. While the evidence comes near an alarm, the
- * share does not go beyond a fifth, or beyond where it is, so that the evidence resolves quickly without harming more
- * callers; evidence that is still near an alarm at the deadline rolls back.
+ * <p>The canary stage takes at least three tenths of the time, since some versions turn bad only after a while and harm
+ * the fewest callers there, and at most four tenths. The canary share is at most what exposes half of a hundredth of
+ * the traffic up to the deadline, so that a version that is bad at once harms fewer than one caller in a hundred even
+ * if it shows only at the end of the canary stage. Without enough evidence the share follows a geometric curve that
+ * reaches its end in time. While a zone of the service leaves or returns, the share is held as long as the deadline
+ * permits. While the evidence comes near an alarm, the share does not go beyond a fifth, or beyond where it is, so that
+ * the evidence resolves quickly without harming more callers; evidence that is still near an alarm at the deadline
+ * rolls back.
  *
  * <p>At the deadline a rollout in probation is done if the new version has served at least {@link #LEAST_CALLS} calls
  * and nothing shows it bad; any other is rolled back, for want of evidence or of share. A version that nearly nobody
@@ -28,6 +30,7 @@
     private static final double FULL_SHARE = 1 - CONTROL_SHARE;
     private static final double EXPOSED_IN_CANARY = 0.005;
     private static final double CANARY_PART = 0.4;
+    private static final double LEAST_CANARY_PART = 0.3;
     private static final double MARGIN_PART = 0.05;
     private static final double STEP_RATIO = 1.3;
     private static final double STEP_PART = 0.004;
@@ -81,7 +84,9 @@
         if (input.conditions().zoneChanging() && !late(input)) {
             return stay(input, "a zone of the service is changing");
         }
-        if (input.judgement().finding() == Judgement.Finding.PROVEN && !suspicious(input)) {
+        Instant earliest = input.plan().declaredAt().plus(part(input.plan(), LEAST_CANARY_PART));
+        boolean proven = input.judgement().finding() == Judgement.Finding.PROVEN && !suspicious(input);
+        if (proven && !input.now().isBefore(earliest)) {
             return new Step(RolloutPhase.RAMP, input.share(), "proven at the canary share");
         }
         Instant end = input.plan().declaredAt().plus(part(input.plan(), CANARY_PART));
--- a/rollout/src/main/java/coriandersill/rollout/LatencyHistogram.java
+++ b/rollout/src/main/java/coriandersill/rollout/LatencyHistogram.java
@@ -24,7 +24,11 @@
 
     private LatencyHistogram(int[] counts) {
         this.counts = counts;
-        this.total = Arrays.stream(counts).asLongStream().sum();
+        long sum = 0;
+        for (int count : counts) {
+            sum += count;
+        }
+        this.total = sum;
     }
 
     /** Returns the histogram without counts. */
@@ -34,8 +38,13 @@
 
     /** Returns a histogram with a copy of {@code counts}; refuses more than {@link #BUCKETS} or negative counts. */
     public static LatencyHistogram of(int... counts) {
-        if (counts.length > BUCKETS || Arrays.stream(counts).anyMatch(count -> count < 0)) {
-            throw new IllegalArgumentException("counts: expected at most " + BUCKETS + " counts of 0 or more");
+        if (counts.length > BUCKETS) {
+            throw new IllegalArgumentException("counts: expected at most " + BUCKETS + ", found " + counts.length);
+        }
+        for (int count : counts) {
+            if (count < 0) {
+                throw new IllegalArgumentException("counts: expected 0 or more, found " + count);
+            }
         }
         return new LatencyHistogram(Arrays.copyOf(counts, BUCKETS));
     }
--- a/rollout/src/main/java/coriandersill/rollout/RolloutFold.java
+++ b/rollout/src/main/java/coriandersill/rollout/RolloutFold.java
@@ -56,10 +56,25 @@
         Outcome outcome = outcome(current, offset, transition);
         if (outcome == Outcome.APPLIED) {
             put(current, offset, time, transition);
+        } else if (current != null && offset > current.offset()) {
+            noteToken(current, transition);
         }
         return outcome;
     }
 
+    /** Notes that the log's offsets have begun anew; the states stay, and later records are taken again. */
+    public void offsetsRestarted() {
+        states.replaceAll((service, state) -> new RolloutState(
+                state.id(),
+                state.phase(),
+                state.share(),
+                state.fencingToken(),
+                -1,
+                state.since(),
+                state.phaseSince(),
+                state.evidence()));
+    }
+
     /** Returns the state of the newest rollout of a service. */
     public Optional<RolloutState> state(ServiceName service) {
         return Optional.ofNullable(states.get(service));
@@ -124,6 +139,23 @@
         return step >= 0 && transition.share() >= current.share() && watched ? Outcome.APPLIED : Outcome.OUT_OF_ORDER;
     }
 
+    /** Remembers a newer holder by whatever it says, so that the older one is fenced from then on. */
+    private void noteToken(RolloutState current, RolloutTransition transition) {
+        if (current.id().equals(transition.id()) && transition.fencingToken() > current.fencingToken()) {
+            states.put(
+                    current.id().service(),
+                    new RolloutState(
+                            current.id(),
+                            current.phase(),
+                            current.share(),
+                            transition.fencingToken(),
+                            current.offset(),
+                            current.since(),
+                            current.phaseSince(),
+                            current.evidence()));
+        }
+    }
+
     private void put(RolloutState current, long offset, Instant time, RolloutTransition transition) {
         boolean same = current != null && current.id().equals(transition.id());
         if (current != null && !same) {
--- a/rollout/src/test/java/coriandersill/rollout/DeadlinePacerTest.java
+++ b/rollout/src/test/java/coriandersill/rollout/DeadlinePacerTest.java
@@ -35,6 +35,12 @@
         assertThat(next(RolloutPhase.RAMP, 0.2, 0.42, PROVEN, cold).share(), is(0.2));
     }
 
+    @Test
+    void aVersionThatIsProvenEarlyIsStillWatchedAtTheCanaryShareForAWhile() {
+        assertThat(next(RolloutPhase.CANARY, 0.01, 0.29, PROVEN, FREE).phase(), is(RolloutPhase.CANARY));
+        assertThat(next(RolloutPhase.CANARY, 0.01, 0.31, PROVEN, FREE).phase(), is(RolloutPhase.RAMP));
+    }
+
     @Test
     void withoutEvidenceTheShareWaitsAtTheCanaryThenStillReachesItsEndInTime() {
         assertThat(next(RolloutPhase.CANARY, 0.01, 0.39, THIN, FREE).phase(), is(RolloutPhase.CANARY));
--- a/rollout/src/test/java/coriandersill/rollout/RolloutFoldTest.java
+++ b/rollout/src/test/java/coriandersill/rollout/RolloutFoldTest.java
@@ -48,6 +48,13 @@
         assertThat(fold.state(SERVICE).orElseThrow().share(), is(0.01));
     }
 
+    @Test
+    void aHolderThatOnlyRepeatsTheStateStillFencesItsPredecessor() {
+        apply(step(FIRST, RolloutPhase.DECLARED, 0, 5));
+        assertThat(apply(step(FIRST, RolloutPhase.DECLARED, 0, 9)), is(REPEATED));
+        assertThat(apply(step(FIRST, RolloutPhase.CANARY, 0.01, 5)), is(FENCED));
+    }
+
     @Test
     void aRollbackNeedsNoLeaseAndNoPhase() {
         apply(step(FIRST, RolloutPhase.DECLARED, 0, 5));
