--- a/rollout/src/main/java/coriandersill/rollout/LatencyHistogram.java
+++ b/rollout/src/main/java/coriandersill/rollout/LatencyHistogram.java
@@ -15,6 +15,7 @@
     /** How many buckets lie between a duration and its double. */
     public static final int BUCKETS_PER_DOUBLING = 4;
 
+    private static final double BUCKETS_PER_NAT = BUCKETS_PER_DOUBLING / Math.log(2);
     private static final double LOWEST_NANOS = 1_000_000;
     private static final LatencyHistogram EMPTY = new LatencyHistogram(new int[BUCKETS]);
 
@@ -23,7 +24,11 @@
 
     private LatencyHistogram(int[] counts) {
         this.counts = counts;
-        this.total = Arrays.stream(counts).asLongStream().sum();
+        long sum = 0;
+        for (int count : counts) {
+            sum += count;
+        }
+        this.total = sum;
     }
 
     /** Returns the histogram without counts. */
@@ -33,8 +38,13 @@
 
     /** Returns a histogram with a copy of {@code counts}; refuses more than {@link #BUCKETS} or negative counts. */
     public static LatencyHistogram of(int... counts) {
-        if (counts.length > BUCKETS || Arrays.stream(counts).anyMatch(count -> count < 0)) {
-            throw new IllegalArgumentException("counts: expected at most " + BUCKETS + " counts of 0 or more");
+        if (counts.length > BUCKETS) {
+            throw new IllegalArgumentException("counts: expected at most " + BUCKETS + ", found " + counts.length);
+        }
+        for (int count : counts) {
+            if (count < 0) {
+                throw new IllegalArgumentException("counts: expected 0 or more, found " + count);
+            }
         }
         return new LatencyHistogram(Arrays.copyOf(counts, BUCKETS));
     }
@@ -44,8 +54,7 @@
         if (nanos <= LOWEST_NANOS) {
             return 0;
         }
-        double doublings = Math.log(nanos / LOWEST_NANOS) / Math.log(2);
-        return (int) Math.min(BUCKETS - 1, Math.floor(doublings * BUCKETS_PER_DOUBLING));
+        return (int) Math.min(BUCKETS - 1, Math.log(nanos / LOWEST_NANOS) * BUCKETS_PER_NAT);
     }
 
     /** Returns the sum of both histograms. */
