--- /dev/null
+++ b/leases/src/test/java/coriandersill/leases/LeaseFoldTest.java
@@ -0,0 +1,175 @@
+package coriandersill.leases;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.InstanceId;
+import coriandersill.core.ManualClock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiFunction;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS V5 at the fold and the gate, and the queue of weight loads. */
+final class LeaseFoldTest {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Duration TERM = Duration.ofSeconds(10);
+    private static final LeaseName NAME = LeaseName.of("rollout/scribe");
+    private static final LeaseHolder A = new LeaseHolder(InstanceId.of("entry-a"), 1);
+    private static final LeaseHolder B = new LeaseHolder(InstanceId.of("entry-b"), 1);
+
+    private final LeaseFold fold = LeaseFold.of();
+    private final ManualClock clock = ManualClock.startingAt(START);
+
+    @Test
+    void theFirstHolderKeepsTheLeaseUntilItLapsesByTheLogsClock() {
+        assertThat(won(fold.apply(5, START, acquire(A))).token(), is(5L));
+        assertThat(fold.apply(6, START.plusSeconds(9), acquire(B)), instanceOf(LeaseEffect.Refused.class));
+        assertThat(won(fold.apply(7, START.plusSeconds(10), acquire(B))).token(), is(7L));
+    }
+
+    @Test
+    void aRenewalKeepsTheTokenAndCannotReviveALapsedLease() {
+        fold.apply(5, START, acquire(A));
+        LeaseRecord renew = new LeaseRecord.Renew(NAME, A, 5, TERM);
+        assertThat(
+                ((LeaseEffect.Renewed) fold.apply(6, START.plusSeconds(9), renew))
+                        .lease()
+                        .token(),
+                is(5L));
+        assertThat(fold.apply(7, START.plusSeconds(19), renew), instanceOf(LeaseEffect.Refused.class));
+        fold.apply(8, START.plusSeconds(19), acquire(B));
+        assertThat(fold.apply(9, START.plusSeconds(20), renew), instanceOf(LeaseEffect.Refused.class));
+        assertThat(fold.find(NAME).orElseThrow().holder(), is(B));
+    }
+
+    @Test
+    void aReleaseByAnOldTokenOrAnEarlierIncarnationChangesNothing() {
+        fold.apply(5, START, acquire(A));
+        LeaseHolder restarted = new LeaseHolder(A.instance(), 2);
+        fold.apply(6, START, new LeaseRecord.Release(NAME, A, 4));
+        fold.apply(7, START, new LeaseRecord.Release(NAME, restarted, 5));
+        assertThat(fold.isFree(NAME, START), is(false));
+        fold.apply(8, START, new LeaseRecord.Release(NAME, A, 5));
+        assertThat(won(fold.apply(9, START, acquire(B))).token(), is(9L));
+    }
+
+    @Test
+    void theLogsClockSteppingBackFreesNothingAndProlongsNothing() {
+        fold.apply(5, START, acquire(A));
+        fold.apply(6, START.plusSeconds(9), new LeaseRecord.Renew(NAME, A, 5, TERM));
+        assertThat(fold.apply(7, START.minusSeconds(60), acquire(B)), instanceOf(LeaseEffect.Refused.class));
+        assertThat(fold.find(NAME).orElseThrow().expires(), is(START.plusSeconds(19)));
+    }
+
+    @Test
+    void aReaderThatMissedRecordsCountsNoUnknownLeaseAsWonForALongestTerm() {
+        fold.provenFrom(START, TERM);
+        assertThat(fold.isFree(NAME, START.plusSeconds(9)), is(false));
+        assertThat(fold.apply(5, START.plusSeconds(9), acquire(A)), instanceOf(LeaseEffect.Refused.class));
+        LeaseName other = LeaseName.of("other");
+        LeaseRecord late = new LeaseRecord.Acquire(other, A, TERM);
+        assertThat(fold.apply(6, START.plusSeconds(10), late), instanceOf(LeaseEffect.Won.class));
+    }
+
+    @Test
+    void aRestartedGateLetsNoOrderThroughBeforeItKnowsTheHighestToken() {
+        OrderGate gate = OrderGate.of();
+        assertThat(kind(gate, 7), is(ErrorKind.UNAVAILABLE));
+        gate.know(9);
+        assertThat(kind(gate, 7), is(ErrorKind.FENCED));
+        assertThat(gate.admit(order(9)).isEmpty(), is(true));
+        gate.observe(12);
+        assertThat(kind(gate, 9), is(ErrorKind.FENCED));
+        assertThat(gate.highest(), is(12L));
+    }
+
+    /**
+     * The case of the related paper: a holder is cut off, a standby takes over, the first one wakes. The fence is a
+     * flag that lags, a counter that begins again when the lease is made anew, or the offset.
+     */
+    @Test
+    void onlyATokenFromOffsetsKeepsOrdersOfAnOldHolderOut() {
+        int flag = staleOrders((gate, token) -> true, 0);
+        int counter = staleOrders((gate, token) -> gate.admit(order(token)).isEmpty(), 3);
+        int offset = staleOrders((gate, token) -> gate.admit(order(token)).isEmpty(), 0);
+        System.out.println("stale orders in 10,000 schedules: flag " + flag + ", counter that restarts " + counter
+                + ", offset " + offset);
+        assertThat("a flag that lags lets stale orders through", flag, greaterThan(0));
+        assertThat("a counter that restarts lets stale orders through", counter, greaterThan(0));
+        assertThat(offset, is(0));
+    }
+
+    /** Counts orders of a holder that take effect after an order of a later one, over seeded schedules. */
+    private static int staleOrders(BiFunction<OrderGate, Long, Boolean> fence, int restartEvery) {
+        int stale = 0;
+        for (int seed = 0; seed < 10_000; seed++) {
+            Random random = new Random(seed);
+            OrderGate gate = OrderGate.of();
+            gate.know(Long.MIN_VALUE);
+            List<Long> tokens = new ArrayList<>();
+            int latest = -1;
+            for (int step = 0; step < 12; step++) {
+                if (tokens.isEmpty() || random.nextInt(3) == 0) {
+                    int term = tokens.size();
+                    tokens.add((long) (restartEvery == 0 ? 10 * term : term % restartEvery));
+                } else {
+                    int holder = Math.max(0, tokens.size() - 1 - random.nextInt(3));
+                    if (fence.apply(gate, tokens.get(holder))) {
+                        stale += holder < latest ? 1 : 0;
+                        latest = Math.max(latest, holder);
+                    }
+                }
+            }
+        }
+        return stale;
+    }
+
+    @Test
+    void loadsOfWeightsAreSpacedAndGoByNeedWithoutABurstAfterAPause() {
+        WeightLoadQueue queue = WeightLoadQueue.of(Duration.ofSeconds(2), 3, clock);
+        for (int i = 0; i < 4; i++) {
+            queue.offer(new WeightLoad(InstanceId.of("s" + i), "large", 10));
+        }
+        queue.offer(new WeightLoad(InstanceId.of("s9"), "small", 6));
+        clock.advance(Duration.ofMinutes(5));
+        List<String> started = new ArrayList<>();
+        for (int second = 0; second < 12; second++) {
+            for (WeightLoad load : queue.poll()) {
+                started.add(second + " " + load.weights());
+            }
+            clock.advance(Duration.ofSeconds(1));
+        }
+        assertThat(started, is(List.of("0 large", "2 small", "4 large")));
+        queue.remove(InstanceId.of("s0"), "large");
+        WeightLoad next = queue.poll().get(0);
+        queue.refused(next, Duration.ofSeconds(30));
+        clock.advance(Duration.ofSeconds(29));
+        assertThat(queue.poll(), is(List.of()));
+        clock.advance(Duration.ofSeconds(1));
+        assertThat(queue.poll(), is(List.of(next)));
+    }
+
+    private static Lease won(LeaseEffect effect) {
+        return ((LeaseEffect.Won) effect).lease();
+    }
+
+    private static LeaseRecord acquire(LeaseHolder holder) {
+        return new LeaseRecord.Acquire(NAME, holder, TERM);
+    }
+
+    private static ErrorKind kind(OrderGate gate, long token) {
+        return gate.admit(order(token)).map(CallFailure::kind).orElseThrow();
+    }
+
+    private static Order order(long token) {
+        return new Order.LoadVersion(token, "v2");
+    }
+}
