Keep headroom from a flooding workspace and test admission under pressure

Cause: R6 with ten times the share moved the others' p99 between tokens by 11%; a share counted in calls alone missed a workspace that holds memory, and freed room went to the flood first. Change: over share is twice the weighted share of calls or memory; such a workspace never passes one within its share and leaves a tenth of the limits free. Tests for G5, R6, refusals and decisions.

--- a/admission/src/main/java/coriandersill/admission/Account.java
+++ b/admission/src/main/java/coriandersill/admission/Account.java
@@ -15,6 +15,9 @@
     double finishTag;
 
     int running;
+    /** Memory that its running calls hold, in tokens. */
+    long heldTokens;
+
     long lastSeenNanos;
     /** Requests of others admitted while the first of this workspace did not fit. */
     int bypassed;
--- a/admission/src/main/java/coriandersill/admission/FairQueue.java
+++ b/admission/src/main/java/coriandersill/admission/FairQueue.java
@@ -19,6 +19,9 @@
 final class FairQueue {
     private static final long ACTIVE_NANOS = Duration.ofSeconds(10).toNanos();
 
+    /** A multiple of the weighted share that chance alone rarely reaches. */
+    private static final double OVER_SHARE = 2;
+
     private final Map<WorkspaceName, Account> accounts = new HashMap<>();
     private final Map<GenerationId, Account> waitingIn = new HashMap<>();
     private double virtualTime;
@@ -132,9 +135,16 @@
         });
     }
 
-    /** Whether the account runs more than its weighted share of {@code limit}, while others are active too. */
-    boolean overShare(Account account, int limit) {
-        return accounts.size() > 1 && account.running >= limit * account.weight / activeWeight;
+    /**
+     * Whether the account has twice its weighted share of the calls or of the memory, or half of what is beyond its
+     * share, while others are active.
+     */
+    boolean overShare(Account account, int limit, long usableTokens) {
+        double even = account.weight / activeWeight;
+        double share = Math.min(OVER_SHARE * even, (1 + even) / 2);
+        return accounts.size() > 1
+                && (account.running >= limit * share
+                        || (usableTokens > 0 && account.heldTokens >= usableTokens * share));
     }
 
     private static double excess(Account account) {
--- a/admission/src/main/java/coriandersill/admission/PredictiveAdmission.java
+++ b/admission/src/main/java/coriandersill/admission/PredictiveAdmission.java
@@ -262,18 +262,23 @@
         }
     }
 
-    /** Admits the first request, in fair order, that fits; returns whether there was one. */
+    /**
+     * Admits the first request, in fair order, that fits; returns whether there was one. A workspace above its share
+     * never passes one that is within its own.
+     */
     private boolean admitOne(long now) {
         List<Account> order = queue.inOrder();
+        boolean passing = false;
         for (int i = 0; i < Math.min(order.size(), MAX_HEADS_TRIED); i++) {
             Account account = order.get(i);
             AdmissionRequest request = account.waiting.first().request();
-            boolean overShare = queue.overShare(account, health.limit());
-            if (fits(request, overShare, now)) {
+            boolean overShare = queue.overShare(account, health.limit(), health.usableTokens(now));
+            if (!(passing && overShare) && fits(request, overShare, now)) {
                 order.subList(0, i).forEach(passed -> passed.bypassed++);
                 admit(account, request, now);
                 return true;
             }
+            passing |= !overShare;
             if (!overShare && account.bypassed >= MAX_BYPASSED) {
                 return false;
             }
--- a/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
+++ b/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
@@ -16,7 +16,7 @@
     private long memoryTokens;
     private double deviations = NormalQuantile.upper(0.003);
     private long prefillTokens = 512;
-    private double headroom = 0.05;
+    private double headroom = 0.1;
     private int maxWaiting = 256;
     private Duration maxWait = Duration.ofMillis(1_200);
     private Duration firstToken = Duration.ofMillis(1_600);
@@ -77,7 +77,7 @@
         return this;
     }
 
-    /** Sets the share of the limits that a workspace above its own share leaves free for others, at first 0.05. */
+    /** Sets the share of the limits that a workspace at twice its own share leaves free for others, at first 0.1. */
     public PredictiveAdmissionBuilder headroom(double share) {
         require(share >= 0 && share < 1, "headroom: expected from 0 to below 1, found " + share);
         this.headroom = share;
--- a/admission/src/main/java/coriandersill/admission/RunningSet.java
+++ b/admission/src/main/java/coriandersill/admission/RunningSet.java
@@ -57,7 +57,7 @@
         AdmissionRequest request = added.request;
         running.put(request.id(), added);
         unstarted.put(request.id(), added);
-        heldTokens += request.promptTokens();
+        hold(added, request.promptTokens());
         prefillTokens += request.promptTokens();
         added.contribution = contribution(request, 0);
         projection.add(added.contribution);
@@ -73,7 +73,7 @@
         if (unstarted.remove(request.id()) != null) {
             prefillTokens -= request.promptTokens();
         }
-        heldTokens -= removed.heldTokens();
+        hold(removed, -removed.heldTokens());
         projection.remove(removed.contribution);
         settle(removed, cost.of(request.promptTokens(), removed.generated));
         if (!removed.plain() && removed.generated > 0) {
@@ -90,7 +90,7 @@
 
     void generated(Running grown, int tokens) {
         grown.generated += tokens;
-        heldTokens += tokens;
+        hold(grown, tokens);
         if (grown.generated >= grown.nextProjection) {
             project(grown);
         }
@@ -126,6 +126,11 @@
         return generations;
     }
 
+    private void hold(Running holder, long tokens) {
+        heldTokens += tokens;
+        holder.account.heldTokens += tokens;
+    }
+
     private void project(Running grown) {
         estimator.observe(grown.key, grown.observed, grown.generated, false);
         grown.observed = grown.generated;
--- /dev/null
+++ b/admission/src/test/java/coriandersill/admission/PredictiveAdmissionTest.java
@@ -0,0 +1,318 @@
+package coriandersill.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.ManualClock;
+import coriandersill.core.Ran;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.hamcrest.Matcher;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** HAZARDS G5 (memory fills up in mid-decode) and R6 (one workspace floods), and the truth of refusals. */
+final class PredictiveAdmissionTest {
+    private static final int MEMORY = 20_000;
+    private static final long SEED = 11;
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+
+    private PredictiveAdmissionBuilder builder() {
+        return PredictiveAdmission.builder(clock).concurrency(64, 64).memoryTokens(MEMORY);
+    }
+
+    private static CallFailure refusal(AdmissionDecision decision) {
+        assertThat(decision, instanceOf(AdmissionDecision.Refused.class));
+        return ((AdmissionDecision.Refused) decision).failure();
+    }
+
+    /**
+     * Serves a backlog on a model engine that generates a token for each running call in every step; returns the steps
+     * in which the running set held more than the memory, and the calls that ended.
+     */
+    private int[] serve(LengthEstimator estimator, int steps) {
+        PredictiveAdmission gate = builder()
+                .estimator(estimator)
+                .ceiling(ConcurrencyCeiling.fixed(64))
+                .prefillTokens(1_000_000)
+                .queue(1_000, Duration.ofHours(1))
+                .build();
+        SplittableRandom random = new SplittableRandom(SEED);
+        Map<Integer, int[]> running = new HashMap<>();
+        int next = 0;
+        int over = 0;
+        int ended = 0;
+        for (int step = 0; step < steps; step++) {
+            clock.advance(Duration.ofMillis(20));
+            List<AdmissionDecision> decisions = new ArrayList<>(gate.expire());
+            while (gate.load().waiting() < 10) {
+                decisions.add(gate.offer(Requests.generation(next++, "w" + next % 5, 100, 4_000)));
+            }
+            for (int id : List.copyOf(running.keySet())) {
+                int[] call = running.get(id);
+                gate.generated(Requests.id(id), 1);
+                if (++call[0] >= call[1]) {
+                    running.remove(id);
+                    ended += step > steps / 2 ? 1 : 0;
+                    decisions.addAll(gate.finished(Requests.id(id), Completion.FINISHED));
+                }
+            }
+            for (AdmissionDecision decision : decisions) {
+                if (decision instanceof AdmissionDecision.Admitted) {
+                    int length = (int) Math.min(4_000, 1 + 200 * Math.exp(random.nextGaussian()));
+                    running.put((int) decision.id().low(), new int[] {0, length});
+                }
+            }
+            int held = running.values().stream().mapToInt(call -> 100 + call[0]).sum();
+            over += held > MEMORY && step > steps / 2 ? 1 : 0;
+        }
+        return new int[] {over, ended};
+    }
+
+    @Test
+    void thePredictedReserveRarelyRunsOutAndServesFarMoreThanTheWorstCase() {
+        int[] predicted = serve(QuantileLengthEstimator.create(), 12_000);
+        int[] worstCase = serve(MaxTokensEstimator.create(), 12_000);
+        int[] promptAlone = serve(FixedLengthEstimator.of(1), 12_000);
+        assertThat("steps above the memory of 6,000, seed " + SEED, predicted[0], lessThan(60));
+        assertThat("the prompt alone does run out", promptAlone[0], greaterThan(600));
+        assertThat(predicted[1], greaterThan(3 * worstCase[1]));
+    }
+
+    @Test
+    void aLargeSetNeedsLessReserveForEachThanASmallOne() {
+        LengthEstimator estimator = QuantileLengthEstimator.create();
+        MemoryProjection projection = new MemoryProjection();
+        MemoryProjection.Contribution one =
+                MemoryProjection.contribution(100, estimator.remaining(Requests.key("w"), 0), 4_000);
+        projection.add(one);
+        long alone = projection.peak(3);
+        for (int i = 1; i < 100; i++) {
+            projection.add(one);
+        }
+        assertThat(projection.peak(3), lessThan(100 * alone * 6 / 10));
+        for (int i = 0; i < 100; i++) {
+            projection.remove(one);
+        }
+        assertThat(projection.peak(3), is(0L));
+    }
+
+    @Test
+    void theReserveFollowsWhatWasGenerated() {
+        PredictiveAdmission gate = builder().build();
+        gate.offer(Requests.generation(1, "w", 100, 4_000));
+        long before = gate.load().reservedTokens();
+        gate.generated(Requests.id(1), 2_000);
+        assertThat(gate.load().reservedTokens(), greaterThan(before + 1_000));
+        gate.generated(Requests.id(1), 2_000);
+        assertThat("no more than the caller allows", gate.load().reservedTokens(), is(4_100L));
+        gate.finished(Requests.id(1), Completion.FINISHED);
+        assertThat(gate.load().reservedTokens(), is(0L));
+    }
+
+    @Test
+    void aPreemptionThatTheEngineShowsLowersTheMemoryAndTimeGivesItBack() {
+        UsableMemory memory = new UsableMemory(1_000, 0);
+        memory.preempted(0);
+        memory.preempted(1);
+        assertThat("one cause counts once", memory.tokens(1), is(960L));
+        for (long second = 1; second < 100; second++) {
+            memory.preempted(Duration.ofSeconds(second).toNanos());
+        }
+        assertThat(memory.tokens(Duration.ofSeconds(100).toNanos()), closeToLong(500));
+        assertThat(memory.tokens(Duration.ofSeconds(700).toNanos()), is(1_000L));
+    }
+
+    private static Matcher<Long> closeToLong(long value) {
+        return both(greaterThan(value - 5)).and(lessThan(value + 5));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"80, 0.2, true", "80, 0.01, false", "60, 1, false"})
+    void theCeilingFallsOnlyWhenTooManyTokensAreLate(int lateMillis, double lateShare, boolean falls) {
+        LatencyGuard guard = LatencyGuard.of(Duration.ofMillis(69), 0.05, 4, 50);
+        for (int i = 0; i < 2_000; i++) {
+            boolean late = i % 100 < lateShare * 100;
+            long gap = Duration.ofMillis(late ? lateMillis : 30).toNanos();
+            guard.gap(Duration.ofMillis(10L * i).toNanos(), gap, 50);
+        }
+        assertThat(guard.ceiling() < 50, is(falls));
+        for (int i = 0; i < 40_000; i++) {
+            guard.gap(Duration.ofMillis(20_000 + 10L * i).toNanos(), 1, guard.ceiling());
+        }
+        assertThat("it rises again", guard.ceiling(), is(50));
+    }
+
+    @Test
+    void aFloodingWorkspaceWaitsWhileAnotherIsServedAtOnce() {
+        PredictiveAdmission gate = builder().memoryTokens(0).concurrency(20, 20).build();
+        for (int i = 0; i < 200; i++) {
+            gate.offer(Requests.plain(i, "flood"));
+        }
+        AdmissionDecision other = gate.offer(Requests.plain(1_000, "other"));
+        assertThat(other, instanceOf(AdmissionDecision.Waiting.class));
+        List<AdmissionDecision> freed = gate.finished(Requests.id(0), Completion.FINISHED);
+        assertThat(freed, contains(new AdmissionDecision.Admitted(Requests.id(1_000))));
+        for (int i = 1; i < 4; i++) {
+            gate.finished(Requests.id(i), Completion.FINISHED);
+        }
+        assertThat("headroom is kept", gate.load().running(), is(18));
+        assertThat(gate.offer(Requests.plain(1_001, "other")), instanceOf(AdmissionDecision.Admitted.class));
+    }
+
+    @Test
+    void aFullQueueRefusesTheExcessOfTheLargestNotTheNewcomer() {
+        PredictiveAdmission gate =
+                builder().concurrency(1, 1).queue(10, Duration.ofSeconds(5)).build();
+        for (int i = 0; i <= 10; i++) {
+            gate.offer(Requests.generation(i, "flood", 10, 100));
+        }
+        assertThat(gate.offer(Requests.generation(50, "other", 10, 100)), instanceOf(AdmissionDecision.Waiting.class));
+        List<AdmissionDecision> decisions = gate.expire();
+        assertThat(decisions.get(0).id(), is(Requests.id(10)));
+        CallFailure failure = refusal(decisions.get(0));
+        assertThat(failure.kind(), is(ErrorKind.OVERLOADED));
+        assertThat(failure.ran(), is(Ran.NO));
+        assertThat(failure.retryAfter().isZero(), is(false));
+        assertThat(
+                refusal(gate.offer(Requests.generation(51, "flood", 10, 100))).kind(), is(ErrorKind.OVERLOADED));
+    }
+
+    @Test
+    void workspacesThatAlwaysWaitAreServedByWeightAndActualTokens() {
+        PredictiveAdmission gate = builder()
+                .concurrency(4, 4)
+                .headroom(0)
+                .queue(10_000, Duration.ofHours(1))
+                .build();
+        int next = 0;
+        Map<String, Integer> served = new HashMap<>();
+        List<AdmissionRequest> running = new ArrayList<>();
+        Map<Integer, AdmissionRequest> offered = new HashMap<>();
+        for (int round = 0; round < 3_000; round++) {
+            for (String workspace : List.of("long", "short")) {
+                AdmissionRequest request = Requests.generation(next, workspace, 10, 4_000);
+                offered.put(next++, request);
+                if (gate.offer(request) instanceof AdmissionDecision.Admitted) {
+                    running.add(request);
+                }
+            }
+            AdmissionRequest first = running.remove(0);
+            int tokens = first.workspace().value().equals("long") ? 300 : 100;
+            gate.generated(first.id(), tokens);
+            served.merge(first.workspace().value(), tokens, Integer::sum);
+            gate.finished(first.id(), Completion.FINISHED)
+                    .forEach(each -> running.add(offered.get((int) each.id().low())));
+        }
+        // Both pay for memory as well as for tokens, and the long ones hold it longer for each token.
+        double ratio = (double) served.get("long") / served.get("short");
+        assertThat(ratio, closeTo(0.9, 0.15));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"500, DEADLINE_EXCEEDED", "5000, OVERLOADED"})
+    void aWaitEndsWithATrueNotRun(int deadlineMillis, ErrorKind kind) {
+        PredictiveAdmission gate = builder().concurrency(1, 1).build();
+        gate.offer(Requests.generation(1, "w", 10, 100));
+        long deadline = Duration.ofMillis(deadlineMillis).toNanos();
+        gate.offer(Requests.request(2, "w", 10, 100, 0, deadline));
+        clock.advance(Duration.ofMillis(Math.min(deadlineMillis, 1_200) - 1));
+        assertThat(gate.expire(), empty());
+        clock.advance(Duration.ofMillis(1));
+        CallFailure failure = refusal(gate.expire().get(0));
+        assertThat(failure.kind(), is(kind));
+        assertThat(failure.ran(), is(Ran.NO));
+        assertThat("it never runs afterwards", gate.finished(Requests.id(1), Completion.FINISHED), empty());
+    }
+
+    @Test
+    void everyOfferIsDecidedOnceWhateverCrosses() {
+        PredictiveAdmission gate =
+                builder().concurrency(3, 3).queue(5, Duration.ofMillis(100)).build();
+        SplittableRandom random = new SplittableRandom(SEED);
+        Map<Integer, String> state = new HashMap<>();
+        for (int step = 0; step < 5_000; step++) {
+            List<AdmissionDecision> decisions = new ArrayList<>();
+            int id = random.nextInt(40);
+            if (random.nextBoolean() && !state.containsKey(id)) {
+                state.put(id, "waiting");
+                decisions.add(gate.offer(Requests.generation(id, "w" + id % 4, 10, 50)));
+            } else if (state.containsKey(id)) {
+                state.remove(id);
+                decisions.addAll(gate.finished(Requests.id(id), Completion.CANCELLED));
+            }
+            clock.advance(Duration.ofMillis(random.nextInt(20)));
+            decisions.addAll(gate.expire());
+            for (AdmissionDecision decision : decisions) {
+                int decided = (int) decision.id().low();
+                assertThat("seed " + SEED + ", step " + step, state.get(decided), is("waiting"));
+                if (decision instanceof AdmissionDecision.Admitted) {
+                    state.put(decided, "running");
+                } else if (decision instanceof AdmissionDecision.Refused) {
+                    state.remove(decided);
+                }
+            }
+            long running = state.values().stream().filter("running"::equals).count();
+            assertThat("seed " + SEED, (long) gate.load().running(), is(running));
+            assertThat(gate.load().waiting(), is(state.size() - (int) running));
+        }
+    }
+
+    @Test
+    void higherPriorityGoesFirstWithinAWorkspace() {
+        PredictiveAdmission gate = builder().concurrency(1, 1).build();
+        for (int i = 0; i < 4; i++) {
+            gate.offer(Requests.request(i, "w", 10, 100, i, Requests.FAR_NANOS));
+        }
+        assertThat(
+                gate.finished(Requests.id(0), Completion.FINISHED),
+                contains(new AdmissionDecision.Admitted(Requests.id(3))));
+    }
+
+    @Test
+    void onlyWhatHasDeliveredNothingIsGivenUpWhenMemoryRunsOut() {
+        PredictiveAdmission gate = builder()
+                .estimator(FixedLengthEstimator.of(1))
+                .prefillTokens(100_000)
+                .build();
+        gate.offer(Requests.generation(1, "w", 9_000, 20_000));
+        gate.offer(Requests.generation(2, "w", 5_000, 20_000));
+        assertThat(gate.victim(), is(Optional.empty()));
+        gate.generated(Requests.id(1), 7_000);
+        assertThat(gate.victim(), is(Optional.of(Requests.id(2))));
+        assertThat(gate.requeue(Requests.id(1)), is(false));
+        assertThat(gate.requeue(Requests.id(2)), is(true));
+        assertThat(gate.load().running(), is(1));
+        assertThat(gate.load().waiting(), is(1));
+        assertThat(gate.victim(), is(Optional.empty()));
+    }
+
+    @Test
+    void aPromptThatCanNeverFitAndASecondAttemptAreRefused() {
+        PredictiveAdmission gate = builder().build();
+        ErrorKind tooLarge =
+                refusal(gate.offer(Requests.generation(1, "w", MEMORY, 10))).kind();
+        assertThat(tooLarge, is(ErrorKind.INVALID_REQUEST));
+        gate.offer(Requests.generation(2, "w", 10, 10));
+        assertThat(refusal(gate.offer(Requests.generation(2, "w", 10, 10))).kind(), is(ErrorKind.FENCED));
+        assertThat(gate.load().running(), lessThanOrEqualTo(1));
+    }
+}
