Add benchmarks of admission cost and table memory

Cause: route and admit have a target of 20 microseconds at p99, and the tables a budget of 256 MB. Change: JMH benchmark over running calls and workspaces, and a program that measures full tables.

--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/admission/AdmissionBenchmark.java
@@ -0,0 +1,122 @@
+package coriandersill.bench.admission;
+
+import coriandersill.admission.AdmissionDecision;
+import coriandersill.admission.AdmissionRequest;
+import coriandersill.admission.Completion;
+import coriandersill.admission.LengthKey;
+import coriandersill.admission.PredictiveAdmission;
+import coriandersill.admission.QuantileLengthEstimator;
+import coriandersill.core.GenerationId;
+import coriandersill.core.MonotonicClock;
+import coriandersill.core.RouteName;
+import coriandersill.core.VersionName;
+import coriandersill.core.WorkspaceName;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** The cost of one admission with its end, of one token, and of one estimate. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.SampleTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+public class AdmissionBenchmark {
+    private static final VersionName VERSION = VersionName.of("v1");
+    private static final RouteName ROUTE = RouteName.of("chat");
+    private static final long FAR_NANOS = Long.MAX_VALUE / 4;
+
+    /** Calls that run. */
+    @Param({"64", "128", "256", "512"})
+    public int running;
+
+    /** Workspaces that the calls are spread over. */
+    @Param({"10", "300"})
+    public int workspaces;
+
+    private final Deque<GenerationId> admitted = new ArrayDeque<>();
+    private final QuantileLengthEstimator estimator = QuantileLengthEstimator.create();
+    private PredictiveAdmission gate;
+    private AdmissionRequest[] prepared;
+    private long next;
+
+    /** Fills the gate and teaches the estimator. */
+    @Setup
+    public void fill() {
+        MonotonicClock clock = () -> 0;
+        gate = PredictiveAdmission.builder(clock)
+                .concurrency(running + 1, running + 1)
+                .memoryTokens(1_000_000_000)
+                .prefillTokens(1_000_000_000)
+                .estimator(estimator)
+                .headroom(0)
+                .build();
+        prepared = new AdmissionRequest[workspaces];
+        for (int i = 0; i < workspaces; i++) {
+            prepared[i] = request(i);
+            for (int j = 0; j < 20; j++) {
+                estimator.observe(LengthKey.of(prepared[i]), 0, 10 + 37 * j, true);
+            }
+        }
+        for (int i = 0; i < running; i++) {
+            offer();
+        }
+    }
+
+    /** One call comes and the oldest ends. */
+    @Benchmark
+    public Object offerAndFinish() {
+        AdmissionDecision decision = offer();
+        gate.finished(admitted.removeFirst(), Completion.FINISHED);
+        return decision;
+    }
+
+    /** One token of the oldest call; one in some tens projects its memory again. */
+    @Benchmark
+    public void generated() {
+        GenerationId id = admitted.removeFirst();
+        gate.generated(id, 1);
+        admitted.addLast(id);
+    }
+
+    /** One estimate and its median. */
+    @Benchmark
+    public int estimate() {
+        LengthKey key = LengthKey.of(prepared[(int) (next++ % workspaces)]);
+        return estimator.remaining(key, 100).quantile(0.5);
+    }
+
+    private AdmissionDecision offer() {
+        AdmissionRequest request = prepared[(int) (next % workspaces)];
+        GenerationId id = new GenerationId(1, next++);
+        admitted.addLast(id);
+        return gate.offer(new AdmissionRequest(
+                id,
+                1,
+                request.workspace(),
+                request.weight(),
+                request.route(),
+                request.version(),
+                request.promptTokens(),
+                request.maxTokens(),
+                request.priority(),
+                request.deadlineNanos()));
+    }
+
+    private static AdmissionRequest request(int workspace) {
+        WorkspaceName name = WorkspaceName.of("workspace-" + workspace);
+        return new AdmissionRequest(new GenerationId(0, 0), 1, name, 1, ROUTE, VERSION, 300, 4_096, 0, FAR_NANOS);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/admission/TableMemory.java
@@ -0,0 +1,79 @@
+package coriandersill.bench.admission;
+
+import coriandersill.admission.LengthKey;
+import coriandersill.admission.QuantileLengthEstimator;
+import coriandersill.core.InstanceId;
+import coriandersill.core.MonotonicClock;
+import coriandersill.core.RouteName;
+import coriandersill.core.VersionName;
+import coriandersill.core.WorkspaceName;
+import coriandersill.quota.CapSplit;
+import coriandersill.quota.QuotaAmount;
+import coriandersill.quota.QuotaDemand;
+import coriandersill.quota.QuotaLedger;
+import java.lang.ref.Reference;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** Prints the heap that full tables of length estimation and quota hold. */
+public final class TableMemory {
+    private static final int WORKSPACES = 2_800;
+    private static final int MODELS = 13;
+    private static final int ENTRIES_PER_WORKSPACE = 20;
+
+    private TableMemory() {}
+
+    /** Measures each table once; takes no arguments. */
+    public static void main(String[] args) {
+        print("length groups", WORKSPACES * MODELS, TableMemory::estimator);
+        print("quota holdings at one home for all", WORKSPACES * ENTRIES_PER_WORKSPACE, TableMemory::ledger);
+    }
+
+    private static void print(String name, int items, Supplier<Object> table) {
+        long before = used();
+        Object kept = table.get();
+        long bytes = used() - before;
+        System.out.printf("%s: %d items, %.1f MB, %d bytes each%n", name, items, bytes / 1e6, bytes / items);
+        Reference.reachabilityFence(kept);
+    }
+
+    private static Object estimator() {
+        QuantileLengthEstimator estimator = QuantileLengthEstimator.create();
+        for (int model = 0; model < MODELS; model++) {
+            for (int i = 0; i < WORKSPACES; i++) {
+                LengthKey key = new LengthKey(
+                        VersionName.of("v" + model), RouteName.of("chat"), WorkspaceName.of("workspace-" + i));
+                estimator.observe(key, 0, 300, true);
+            }
+        }
+        return estimator;
+    }
+
+    private static Object ledger() {
+        MonotonicClock clock = () -> 0;
+        QuotaLedger ledger = QuotaLedger.open(clock, CapSplit.byDemand(), 1, Duration.ZERO, Duration.ofSeconds(2));
+        ledger.leaseUntil(Long.MAX_VALUE / 4);
+        Map<WorkspaceName, QuotaAmount> pools = new HashMap<>();
+        for (int i = 0; i < WORKSPACES; i++) {
+            pools.put(WorkspaceName.of("workspace-" + i), new QuotaAmount(100, 10_000));
+        }
+        ledger.pools(pools);
+        for (WorkspaceName workspace : pools.keySet()) {
+            for (int entry = 0; entry < ENTRIES_PER_WORKSPACE; entry++) {
+                QuotaAmount wanted = new QuotaAmount(5, 400);
+                ledger.grant(new QuotaDemand(InstanceId.of("entry-" + entry), workspace, wanted, 1));
+            }
+        }
+        return ledger;
+    }
+
+    private static long used() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of length estimation, admission and quota. */
+package coriandersill.bench.admission;
