--- a/experiment/src/main/java/coriandersill/experiment/Call.java
+++ b/experiment/src/main/java/coriandersill/experiment/Call.java
@@ -10,6 +10,7 @@
     RouteRequest request;
     InstanceId instance;
     int attempt = 1;
+    int expectedTokens;
     int tokens;
     long dispatchedAt;
     long firstTokenAt;
--- a/experiment/src/main/java/coriandersill/experiment/EntryModel.java
+++ b/experiment/src/main/java/coriandersill/experiment/EntryModel.java
@@ -5,6 +5,7 @@
 import coriandersill.core.RouteName;
 import coriandersill.core.ServiceName;
 import coriandersill.core.WorkspaceName;
+import coriandersill.quota.WorkspaceQuota;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.Candidate;
@@ -30,6 +31,7 @@
     private final EventQueue events;
     private final Router router;
     private final RetryPolicy retries;
+    private final WorkspaceQuota quota;
     private final Deployment deployment;
     private final int index;
     private final long maxWaitNanos;
@@ -37,10 +39,11 @@
     private final Map<WorkspaceName, Double> meanLengths = new HashMap<>();
     private final List<CandidateInfo> candidates;
 
-    EntryModel(EventQueue events, Router router, RetryPolicy retries, Settings settings, EntryListener listener) {
+    EntryModel(EventQueue events, Decisions decisions, Settings settings, EntryListener listener) {
         this.events = events;
-        this.router = router;
-        this.retries = retries;
+        this.router = decisions.router();
+        this.retries = decisions.retries();
+        this.quota = decisions.quota();
         this.deployment = settings.deployment();
         this.index = settings.index();
         this.maxWaitNanos = settings.maxWaitNanos();
@@ -48,6 +51,15 @@
         this.listener = listener;
     }
 
+    /**
+     * Who decides at one entry.
+     *
+     * @param router where calls go
+     * @param retries what follows a failed attempt
+     * @param quota whether the workspace is within its cap
+     */
+    record Decisions(Router router, RetryPolicy retries, WorkspaceQuota quota) {}
+
     /**
      * What is special about one entry.
      *
@@ -63,9 +75,15 @@
     }
 
     void arrived(Call call) {
-        retries.started();
         EngineRequest request = call.arrival.request();
-        double mean = meanLengths.getOrDefault(call.arrival.workspace(), FIRST_LENGTH);
+        int expected = (int) (double) meanLengths.getOrDefault(call.arrival.workspace(), FIRST_LENGTH);
+        Optional<CallFailure> overCap = quota.tryAcquire(call.arrival.workspace(), expected);
+        if (overCap.isPresent()) {
+            listener.failed(call, overCap.get());
+            return;
+        }
+        retries.started();
+        call.expectedTokens = expected;
         call.request = new RouteRequest(
                 SERVICE,
                 ROUTE,
@@ -73,7 +91,7 @@
                 deployment.zone(index),
                 request.prefix(),
                 request.promptTokens(),
-                request.promptTokens() + (int) mean,
+                request.promptTokens() + expected,
                 Set.of());
         attempt(call);
     }
@@ -85,6 +103,7 @@
         long between = call.tokens < 2 ? 0 : (call.lastTokenAt - call.firstTokenAt) / (call.tokens - 1);
         CallResult result = CallResult.ok(call.firstTokenAt - call.dispatchedAt, between, call.tokens);
         router.finished(call.instance, call.request, result);
+        quota.settle(call.arrival.workspace(), call.expectedTokens, call.tokens);
         listener.answered(call);
     }
 
@@ -101,15 +120,20 @@
             call.ranBefore = attempt.ranInAny();
             events.after(retry.delay().toNanos(), () -> attempt(call));
         } else if (decision instanceof RetryDecision.GiveUp giveUp) {
-            listener.failed(call, giveUp.answer());
+            fail(call, giveUp.answer());
         }
     }
 
+    private void fail(Call call, CallFailure answer) {
+        quota.settle(call.arrival.workspace(), call.expectedTokens, call.tokens);
+        listener.failed(call, answer);
+    }
+
     private void attempt(Call call) {
         Optional<Candidate> choice = router.select(call.request, candidates);
         if (choice.isEmpty()) {
             CallFailure failure = CallFailure.of(ErrorKind.UNAVAILABLE, "no upstream is left");
-            listener.failed(call, failure.withRan(call.ranBefore));
+            fail(call, failure.withRan(call.ranBefore));
             return;
         }
         call.instance = choice.get().instance();
--- a/experiment/src/main/java/coriandersill/experiment/Experiment.java
+++ b/experiment/src/main/java/coriandersill/experiment/Experiment.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongFunction;
 
 /** The command that compares policies and prints what it measured. */
 @Command(
@@ -18,6 +19,10 @@
 public final class Experiment {
     private static final int[] LOADS = {70, 90, 100, 110};
     private static final double FLOOD = 10;
+
+    /** The cap of the flooding workspace as a part of all traffic; its usual part is 1/14. */
+    private static final double FLOOD_CAP = 0.1;
+
     private static final int USAGE_EXIT_CODE = 2;
 
     @Option(name = "--deployment", description = "awaj, silverbend or both (default)")
@@ -84,22 +89,24 @@
         table.write(Path.of(out), each.name() + ".csv");
     }
 
-    /** Lets one workspace send ten times its share, at 90% without the flood. */
+    /** Lets one workspace send ten times its share, at 90% without the flood, with and without a cap. */
     private void flood(Runner runner, Deployment each, double full, ResultTable table) {
         PolicySet standard = StockPolicies.standard(each.engine());
         double rate = full * 0.9;
         for (double factor : new double[] {1, FLOOD}) {
-            Summary summary = new Summary(
-                    String.format(Locale.ROOT, "standard, flood x%.0f", factor),
-                    90,
-                    runner.run(seed -> runner.settings(each, rate, factor, seed), standard)
-                            .join());
-            table.add(summary);
-            table.note(String.format(
-                    Locale.ROOT,
-                    "others: first token p99 %.0f ms, between tokens p99 %.1f ms",
-                    summary.mean(result -> result.firstTokenOthers().p99()),
-                    summary.mean(result -> result.betweenOthers().p99())));
+            for (double cap : new double[] {0, FLOOD_CAP}) {
+                LongFunction<RunSettings> settings =
+                        seed -> runner.settings(each, rate, factor, seed).withCaps(Runner.caps(cap * rate));
+                String name = String.format(Locale.ROOT, "flood x%.0f, cap %.0f%%", factor, cap * 100);
+                Summary summary =
+                        new Summary(name, 90, runner.run(settings, standard).join());
+                table.add(summary);
+                table.note(String.format(
+                        Locale.ROOT,
+                        "others: first token p99 %.0f ms, between tokens p99 %.1f ms",
+                        summary.mean(result -> result.firstTokenOthers().p99()),
+                        summary.mean(result -> result.betweenOthers().p99())));
+            }
         }
     }
 }
--- a/experiment/src/main/java/coriandersill/experiment/RunSettings.java
+++ b/experiment/src/main/java/coriandersill/experiment/RunSettings.java
@@ -1,7 +1,10 @@
 package coriandersill.experiment;
 
+import coriandersill.core.WorkspaceName;
+import coriandersill.quota.QuotaAmount;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 
 /**
  * One run: where, with which arrivals, and what is measured.
@@ -15,6 +18,7 @@
  * @param reportEvery the time between two load reports of a sidecar
  * @param reportLag how late they reach the entries
  * @param faults what happens to engines and zones
+ * @param caps the caps of workspaces over all entries; the others have none
  */
 public record RunSettings(
         Deployment deployment,
@@ -25,15 +29,17 @@
         Duration maxWait,
         Duration reportEvery,
         Duration reportLag,
-        List<Fault> faults) {
+        List<Fault> faults,
+        Map<WorkspaceName, QuotaAmount> caps) {
 
     /** Copies the lists. */
     public RunSettings {
         arrivals = List.copyOf(arrivals);
         faults = List.copyOf(faults);
+        caps = Map.copyOf(caps);
     }
 
-    /** Returns a run with reports every 500 ms that lag by 200 ms, a wait of 1.4 s and no faults. */
+    /** Returns a run with reports every 500 ms that lag by 200 ms, a wait of 1.4 s and no faults or caps. */
     public static RunSettings of(
             Deployment deployment, List<Arrival> arrivals, long seed, Duration warmUp, Duration measured) {
         return new RunSettings(
@@ -45,11 +51,19 @@
                 Duration.ofMillis(1_400),
                 Duration.ofMillis(500),
                 Duration.ofMillis(200),
-                List.of());
+                List.of(),
+                Map.of());
     }
 
     /** Returns the same run with faults. */
     public RunSettings withFaults(List<Fault> more) {
-        return new RunSettings(deployment, arrivals, seed, warmUp, measured, maxWait, reportEvery, reportLag, more);
+        return new RunSettings(
+                deployment, arrivals, seed, warmUp, measured, maxWait, reportEvery, reportLag, more, caps);
+    }
+
+    /** Returns the same run with caps. */
+    public RunSettings withCaps(Map<WorkspaceName, QuotaAmount> more) {
+        return new RunSettings(
+                deployment, arrivals, seed, warmUp, measured, maxWait, reportEvery, reportLag, faults, more);
     }
 }
--- a/experiment/src/main/java/coriandersill/experiment/Runner.java
+++ b/experiment/src/main/java/coriandersill/experiment/Runner.java
@@ -1,15 +1,19 @@
 package coriandersill.experiment;
 
+import coriandersill.core.WorkspaceName;
+import coriandersill.quota.QuotaAmount;
 import coriandersill.workers.WorkerPool;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongFunction;
 
 /** Runs many simulations on a few workers, each with a seed of its own. */
 final class Runner {
     private static final int MAX_RUNS = 100_000;
+    private static final int MAX_CONCURRENCY = 10_000;
     private static final Duration WARM_UP = Duration.ofSeconds(30);
     private static final Duration COOL_DOWN = Duration.ofSeconds(10);
 
@@ -46,4 +50,11 @@
         List<Arrival> arrivals = Workload.atTokenRate(spec, tokensPerSecond, seed);
         return RunSettings.of(deployment, arrivals, seed, WARM_UP, measured);
     }
+
+    /** Returns a cap on the fourth workspace, in tokens a second; none for 0. */
+    static Map<WorkspaceName, QuotaAmount> caps(double tokensPerSecond) {
+        return tokensPerSecond == 0
+                ? Map.of()
+                : Map.of(Workload.workspaceName(3), new QuotaAmount(MAX_CONCURRENCY, tokensPerSecond));
+    }
 }
--- a/experiment/src/main/java/coriandersill/experiment/Simulation.java
+++ b/experiment/src/main/java/coriandersill/experiment/Simulation.java
@@ -3,6 +3,7 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.InstanceId;
 import coriandersill.core.ManualClock;
+import coriandersill.quota.LocalQuota;
 import coriandersill.routing.BudgetedRetry;
 import coriandersill.routing.CandidateInfo;
 import coriandersill.routing.LoadReport;
@@ -60,8 +61,7 @@
             long maxWait = settings.maxWait().toNanos();
             entries.add(new EntryModel(
                     events,
-                    router,
-                    retries,
+                    new EntryModel.Decisions(router, retries, quota(i)),
                     new EntryModel.Settings(deployment, i, maxWait, candidates),
                     new AtEntry()));
         }
@@ -138,6 +138,13 @@
         }
     }
 
+    private LocalQuota quota(int entry) {
+        LocalQuota quota = LocalQuota.create(clock);
+        quota.caps(settings.caps());
+        quota.liveEntries(deployment.entries(), entry);
+        return quota;
+    }
+
     private SidecarModel sidecar() {
         return new SidecarModel(events, policies.admission().apply(clock), deployment.engine(), new AtSidecar());
     }
