--- a/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
+++ b/admission/src/main/java/coriandersill/admission/PredictiveAdmissionBuilder.java
@@ -14,9 +14,9 @@
     private int coldConcurrency = 1;
     private int maxConcurrency = 1;
     private long memoryTokens;
-    private double deviations = NormalQuantile.upper(0.01);
-    private long prefillTokens = 8_192;
-    private double headroom = 0.05;
+    private double deviations = NormalQuantile.upper(0.003);
+    private long prefillTokens = 512;
+    private double headroom = 0.1;
     private int maxWaiting = 256;
     private Duration maxWait = Duration.ofMillis(1_200);
     private Duration firstToken = Duration.ofMillis(1_600);
@@ -61,7 +61,7 @@
         return this;
     }
 
-    /** Sets the probability, as projected at admission, that the running set outgrows the memory; at first 0.01. */
+    /** Sets the probability, as projected at admission, that the running set outgrows the memory; at first 0.003. */
     public PredictiveAdmissionBuilder overcommitRisk(double probability) {
         require(
                 probability > 0 && probability < 0.5,
@@ -70,14 +70,14 @@
         return this;
     }
 
-    /** Sets the most prompt tokens that await a first token together, at first 8,192; a single prompt may be longer. */
+    /** Sets the most prompt tokens that await a first token together, at first 512; a single prompt may be longer. */
     public PredictiveAdmissionBuilder prefillTokens(long tokens) {
         require(tokens >= 1, "prefillTokens: expected 1 or more, found " + tokens);
         this.prefillTokens = tokens;
         return this;
     }
 
-    /** Sets the share of the limits that a workspace above its own share leaves free for others, at first 0.05. */
+    /** Sets the share of the limits that a workspace at twice its own share leaves free for others, at first 0.1. */
     public PredictiveAdmissionBuilder headroom(double share) {
         require(share >= 0 && share < 1, "headroom: expected from 0 to below 1, found " + share);
         this.headroom = share;
