Explore 10,000 schedules of claims and dispatches; win and keep leases on the log

Cause: single tests do not show what crossing failures do together: pauses, restarts, lost and late answers, outages and stalled links.

Found by writing the scenario: a restarted gate called a given-up attempt "not run" that its predecessor had handed on, and a token handed on before was refused as "not run". Both now say "unknown". A lease won by an earlier record of two under way counted its time from the later one; records carry a number now.

Ruled out: processes on real threads (not repeatable); a message under way being lost with a restart (it reaches the next sidecar of that address, and only so the stamp's epoch is put to the test).

--- /dev/null
+++ b/explorer/src/main/java/coriandersill/explorer/SimulatedLog.java
@@ -0,0 +1,112 @@
+package coriandersill.explorer;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.Ran;
+import coriandersill.platform.LogPage;
+import coriandersill.platform.LogRecord;
+import coriandersill.platform.PlatformLog;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The platform's log in a {@link Simulation}: appends take effect late or not at all, answers are late or lost, and it
+ * has outages.
+ */
+public final class SimulatedLog {
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration LONG_POLL = Duration.ofMillis(500);
+    private static final double LOST_ANSWER_PROBABILITY = 0.08;
+    private static final double LOST_REQUEST_PROBABILITY = 0.03;
+
+    private final Simulation simulation;
+    private final Map<String, List<LogRecord>> streams = new HashMap<>();
+    private int outages;
+
+    SimulatedLog(Simulation simulation) {
+        this.simulation = simulation;
+    }
+
+    /** Refuses every append and read for a time. */
+    public void outage(Duration time) {
+        outages++;
+        simulation.after(time, () -> outages--);
+    }
+
+    /** The records of a stream. */
+    public List<LogRecord> records(String stream) {
+        return streams.computeIfAbsent(stream, name -> new ArrayList<>());
+    }
+
+    PlatformLog seenBy(SimulatedProcess process) {
+        return new PlatformLog() {
+            @Override
+            public CompletableFuture<Long> append(String stream, List<byte[]> data) {
+                CompletableFuture<Long> answer = new CompletableFuture<>();
+                appendLater(process, stream, data, answer);
+                return answer;
+            }
+
+            @Override
+            public CompletableFuture<LogPage> read(String stream, long from, int limit) {
+                CompletableFuture<LogPage> answer = new CompletableFuture<>();
+                simulation.after(simulation.linkDelay(), () -> answerRead(process, stream, from, limit, answer));
+                return answer;
+            }
+        };
+    }
+
+    private void appendLater(
+            SimulatedProcess process, String stream, List<byte[]> data, CompletableFuture<Long> answer) {
+        if (!simulation.chance(LOST_REQUEST_PROBABILITY)) {
+            simulation.after(simulation.linkDelay(), () -> append(process, stream, data, answer));
+        }
+        CallFailure lost = unavailable("no answer").withRan(Ran.UNKNOWN);
+        simulation.after(ANSWER_TIMEOUT, () -> process.run(() -> answer.completeExceptionally(lost)));
+    }
+
+    private void append(SimulatedProcess process, String stream, List<byte[]> data, CompletableFuture<Long> answer) {
+        if (outages > 0) {
+            deliver(process, () -> answer.completeExceptionally(unavailable("down")));
+            return;
+        }
+        List<LogRecord> records = records(stream);
+        long first = records.size();
+        for (byte[] bytes : data) {
+            records.add(new LogRecord(records.size(), simulation.clock().instant(), bytes));
+        }
+        if (!simulation.chance(LOST_ANSWER_PROBABILITY)) {
+            deliver(process, () -> answer.complete(first));
+        }
+    }
+
+    private void answerRead(
+            SimulatedProcess process, String stream, long from, int limit, CompletableFuture<LogPage> answer) {
+        if (outages > 0) {
+            deliver(process, () -> answer.completeExceptionally(unavailable("down")));
+        } else if (records(stream).size() > from) {
+            deliver(process, () -> answer.complete(page(stream, from, limit)));
+        } else {
+            simulation.after(LONG_POLL, () -> deliver(process, () -> answer.complete(page(stream, from, limit))));
+        }
+    }
+
+    private LogPage page(String stream, long from, int limit) {
+        List<LogRecord> records = records(stream);
+        int start = (int) Math.min(from, records.size());
+        int end = Math.min(records.size(), start + limit);
+        return new LogPage(0, records.size(), new ArrayList<>(records.subList(start, end)));
+    }
+
+    private void deliver(SimulatedProcess process, Runnable task) {
+        simulation.after(simulation.linkDelay(), () -> process.run(task));
+    }
+
+    private static CallFailure unavailable(String reason) {
+        return CallFailure.of(ErrorKind.LOG_UNAVAILABLE, reason);
+    }
+}
--- /dev/null
+++ b/explorer/src/test/java/coriandersill/explorer/ClaimExplorerTest.java
@@ -0,0 +1,33 @@
+package coriandersill.explorer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** HAZARDS O1 to O8 together: at most one execution for each key, and "not run" is true. */
+final class ClaimExplorerTest {
+    private static final int SCHEDULES = 10_000;
+
+    @Test
+    void aKeyRunsAtMostOnceAndNotRunIsTrueUnderEverySchedule() {
+        ClaimScenario scenario = new ClaimScenario(ClaimScenario.Fault.NONE);
+        Explorer.of(scenario).explore(1, SCHEDULES);
+        System.out.println(SCHEDULES + " schedules: " + scenario.totalExecutions() + " of " + 2 * SCHEDULES
+                + " keys ran, " + scenario.totalReplays() + " replays");
+        assertThat("most keys run", scenario.totalExecutions(), greaterThan(SCHEDULES));
+        assertThat("outcomes are replayed", scenario.totalReplays(), greaterThan(SCHEDULES / 10));
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void eachBrokenDecisionIsFound(ClaimScenario.Fault fault) {
+        OptionalLong seed = Explorer.of(new ClaimScenario(fault)).firstFailure(1, SCHEDULES);
+        System.out.println(fault + " fails first at seed " + seed);
+        assertThat(fault.toString(), seed.isPresent(), is(true));
+    }
+}
--- /dev/null
+++ b/explorer/src/test/java/coriandersill/explorer/ClaimScenario.java
@@ -0,0 +1,271 @@
+package coriandersill.explorer;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.GenerationId;
+import coriandersill.core.InstanceId;
+import coriandersill.core.Ran;
+import coriandersill.core.WorkspaceName;
+import coriandersill.idempotency.ClaimHold;
+import coriandersill.idempotency.ClaimKey;
+import coriandersill.idempotency.Dispatch;
+import coriandersill.idempotency.DispatchGate;
+import coriandersill.idempotency.Fingerprint;
+import coriandersill.idempotency.GateStamp;
+import coriandersill.idempotency.IdempotencyKey;
+import coriandersill.idempotency.log.ClaimRequest;
+import coriandersill.idempotency.log.ClaimResult;
+import coriandersill.idempotency.log.ClaimService;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** Callers repeat calls of a few keys through three entries and two sidecars while everything fails. */
+final class ClaimScenario implements Scenario {
+    /** A decision that is taken wrongly on purpose, to show that the checks can fail. */
+    enum Fault {
+        NONE,
+        /** An entry takes a claim over that looks stuck. */
+        TAKEOVER,
+        /** The gate does not remember which attempts were given up. */
+        FORGETS_GIVEN_UP,
+        /** The gate does not look at the stamp. */
+        IGNORES_STAMP,
+        /** An entry that hears nothing tells its caller "not run". */
+        CALLS_SILENCE_NOT_RUN
+    }
+
+    private static final Duration HORIZON = Duration.ofSeconds(20);
+    private static final Duration LIFETIME = Duration.ofSeconds(10);
+    private static final Duration DISPATCH_TIMEOUT = Duration.ofSeconds(2);
+
+    private final Fault fault;
+    private int totalExecutions;
+    private int totalReplays;
+
+    ClaimScenario(Fault fault) {
+        this.fault = fault;
+    }
+
+    int totalExecutions() {
+        return totalExecutions;
+    }
+
+    int totalReplays() {
+        return totalReplays;
+    }
+
+    @Override
+    public void run(Simulation simulation) {
+        new Run(simulation).run();
+    }
+
+    private static void check(boolean condition, String message) {
+        if (!condition) {
+            throw new AssertionError(message);
+        }
+    }
+
+    private static GateStamp newer(GateStamp one, GateStamp other) {
+        return one.elapsedMillis() > other.elapsedMillis() ? one : other;
+    }
+
+    private final class Run {
+        private final Simulation simulation;
+        private final Entry[] entries = new Entry[3];
+        private final Sidecar[] sidecars = new Sidecar[2];
+        private final Map<ClaimKey, Integer> executions = new HashMap<>();
+        private final Set<Integer> ranCalls = new HashSet<>();
+        private final Set<Integer> notRunCalls = new HashSet<>();
+        private int calls;
+
+        private Run(Simulation simulation) {
+            this.simulation = simulation;
+        }
+
+        private void run() {
+            for (int i = 0; i < sidecars.length; i++) {
+                sidecars[i] = new Sidecar(i);
+            }
+            for (int i = 0; i < entries.length; i++) {
+                entries[i] = new Entry(i);
+            }
+            for (int i = 0; i < 2; i++) {
+                ClaimKey key = ClaimKey.of(
+                        WorkspaceName.of("criers"),
+                        IdempotencyKey.draw(simulation.clock().instant(), simulation.random()));
+                for (int call = 0; call < 3; call++) {
+                    simulation.after(simulation.upTo(HORIZON), () -> anyEntry().call(key, ++calls));
+                }
+            }
+            for (int i = 0; i < 4; i++) {
+                simulation.after(simulation.upTo(HORIZON), this::fail);
+            }
+            simulation.run(HORIZON.multipliedBy(3));
+            executions.forEach((key, count) -> check(count == 1, "a key ran " + count + " times"));
+            ranCalls.retainAll(notRunCalls);
+            check(ranCalls.isEmpty(), "calls that were told \"not run\" ran: " + ranCalls);
+            totalExecutions += executions.size();
+        }
+
+        private void fail() {
+            int index = simulation.random().nextInt(sidecars.length);
+            switch (simulation.random().nextInt(5)) {
+                case 0 -> anyEntry().process.pause(simulation.upTo(LIFETIME.multipliedBy(2)));
+                case 1 -> anyEntry().restart();
+                case 2 -> {
+                    sidecars[index].process.die();
+                    sidecars[index] = new Sidecar(index);
+                }
+                case 3 -> sidecars[index].process.pause(simulation.upTo(LIFETIME));
+                default -> simulation.log().outage(simulation.upTo(LIFETIME));
+            }
+        }
+
+        private Entry anyEntry() {
+            return entries[simulation.random().nextInt(entries.length)];
+        }
+
+        private final class Sidecar {
+            private final int index;
+            private final SimulatedProcess process = simulation.process("sidecar");
+            private final DispatchGate gate =
+                    DispatchGate.of(simulation.clock(), simulation.random(), Duration.ofSeconds(5), 100);
+
+            private Sidecar(int index) {
+                this.index = index;
+                simulation.after(Duration.ZERO, () -> process.run(this::ping));
+            }
+
+            /** A message that is under way when a sidecar is replaced reaches the new one. */
+            private void receive(Consumer<Sidecar> message) {
+                simulation.deliver(() -> {
+                    Sidecar receiver = sidecars[index];
+                    receiver.process.run(() -> message.accept(receiver));
+                });
+            }
+
+            private void ping() {
+                GateStamp stamp = gate.stamp();
+                for (Entry entry : entries) {
+                    simulation.send(entry.process, () -> entry.stamps.merge(this, stamp, ClaimScenario::newer));
+                }
+                simulation.after(Duration.ofSeconds(1), () -> process.run(this::ping));
+            }
+
+            private void dispatch(Dispatch sent, int call, SimulatedProcess from, CompletableFuture<Ran> answer) {
+                Dispatch dispatch = fault == Fault.IGNORES_STAMP
+                        ? new Dispatch(sent.key(), sent.token(), sent.call(), sent.attempt(), gate.stamp())
+                        : sent;
+                Ran ran = gate.admit(dispatch).map(CallFailure::ran).orElse(Ran.YES);
+                if (ran == Ran.YES) {
+                    executions.merge(dispatch.key(), 1, Integer::sum);
+                    ranCalls.add(call);
+                }
+                simulation.send(from, () -> answer.complete(ran));
+            }
+
+            private void giveUp(Dispatch dispatch, SimulatedProcess from, CompletableFuture<Ran> answer) {
+                boolean forgets = fault == Fault.FORGETS_GIVEN_UP;
+                boolean notRun = forgets || gate.giveUp(dispatch) == DispatchGate.GiveUp.NOT_RUN;
+                simulation.send(from, () -> answer.complete(notRun ? Ran.NO : Ran.UNKNOWN));
+            }
+        }
+
+        private final class Entry {
+            private final int index;
+            private final SimulatedProcess process;
+            private final ClaimService claims;
+            private final Map<Sidecar, GateStamp> stamps = new HashMap<>();
+
+            private Entry(int index) {
+                this.index = index;
+                this.process = simulation.process("entry-" + index);
+                InstanceId id = InstanceId.of(process.name());
+                long incarnation = simulation.clock().nanos();
+                this.claims = ClaimService.builder(process.log(), process.scheduler(), id, incarnation)
+                        .clock(simulation.clock())
+                        .time(simulation.clock())
+                        .random(simulation.random())
+                        .build();
+                CompletableFuture<Void> unused = claims.start();
+            }
+
+            private void restart() {
+                process.die();
+                entries[index] = new Entry(index);
+            }
+
+            private void call(ClaimKey key, int call) {
+                ClaimRequest request = new ClaimRequest(key, new Fingerprint(1), LIFETIME);
+                process.run(() -> {
+                    CompletableFuture<Void> unused =
+                            claims.claim(request).thenAccept(result -> claimed(request, call, result));
+                });
+            }
+
+            private void claimed(ClaimRequest request, int call, ClaimResult result) {
+                if (result instanceof ClaimResult.Won won) {
+                    dispatch(won.hold(), call, 1);
+                } else if (result instanceof ClaimResult.Refused refused
+                        && refused.failure().ran() == Ran.NO) {
+                    notRunCalls.add(call);
+                } else if (result instanceof ClaimResult.Replayed) {
+                    check(executions.containsKey(request.key()), "an outcome was replayed of a key that never ran");
+                    totalReplays++;
+                } else if (fault == Fault.TAKEOVER && result instanceof ClaimResult.Unknown) {
+                    long until = simulation.clock().nanos() + LIFETIME.toNanos();
+                    GenerationId id = GenerationId.random(simulation.random());
+                    dispatch(new ClaimHold(request.key(), 1_000_000 + call, id, until), call, 1);
+                }
+            }
+
+            private void dispatch(ClaimHold hold, int call, int attempt) {
+                List<Sidecar> known = new ArrayList<>(List.of(sidecars));
+                known.retainAll(stamps.keySet());
+                if (known.isEmpty() || attempt > 3) {
+                    release(hold, call);
+                    return;
+                }
+                Sidecar sidecar = known.get(simulation.random().nextInt(known.size()));
+                Dispatch dispatch;
+                try {
+                    dispatch = hold.dispatch(stamps.get(sidecar), attempt, simulation.clock());
+                } catch (CallFailure late) {
+                    release(hold, call);
+                    return;
+                }
+                CompletableFuture<Ran> answer = new CompletableFuture<>();
+                sidecar.receive(receiver -> receiver.dispatch(dispatch, call, process, answer));
+                process.scheduler().schedule(DISPATCH_TIMEOUT, () -> giveUp(sidecar, dispatch, answer));
+                CompletableFuture<Void> unused = answer.thenAccept(ran -> answered(hold, call, attempt, ran));
+            }
+
+            private void giveUp(Sidecar sidecar, Dispatch dispatch, CompletableFuture<Ran> answer) {
+                if (!answer.isDone()) {
+                    sidecar.receive(receiver -> receiver.giveUp(dispatch, process, answer));
+                    Ran silence = fault == Fault.CALLS_SILENCE_NOT_RUN ? Ran.NO : Ran.UNKNOWN;
+                    process.scheduler().schedule(DISPATCH_TIMEOUT, () -> answer.complete(silence));
+                }
+            }
+
+            private void answered(ClaimHold hold, int call, int attempt, Ran ran) {
+                if (ran == Ran.NO) {
+                    dispatch(hold, call, attempt + 1);
+                } else if (ran == Ran.YES) {
+                    CompletableFuture<Boolean> unused = claims.complete(hold, 200, "", new byte[0]);
+                }
+            }
+
+            private void release(ClaimHold hold, int call) {
+                CompletableFuture<Boolean> unused = claims.release(hold);
+                notRunCalls.add(call);
+            }
+        }
+    }
+}
--- a/idempotency/src/main/java/coriandersill/idempotency/DispatchGate.java
+++ b/idempotency/src/main/java/coriandersill/idempotency/DispatchGate.java
@@ -4,6 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.GenerationId;
 import coriandersill.core.MonotonicClock;
+import coriandersill.core.Ran;
 import coriandersill.core.lock.LockRank;
 import coriandersill.core.lock.RankedLock;
 import java.time.Duration;
@@ -38,7 +39,9 @@
         /** The attempt was not handed on and never will be. */
         NOT_RUN,
         /** The attempt was handed on before. */
-        HANDED_ON
+        HANDED_ON,
+        /** The attempt may have been handed on before this gate started. */
+        UNKNOWN
     }
 
     private record Attempt(GenerationId call, int number) {}
@@ -87,11 +90,15 @@
     }
 
     /**
-     * Lets a dispatch in, once; the caller hands it on at once. Otherwise returns why it is refused: it has not run and
-     * will not run under this attempt.
+     * Lets a dispatch in, once; the caller hands it on at once. Otherwise returns why it is refused: this attempt has
+     * not run and will not, unless the failure says that it is unknown because its token was handed on before.
      */
     public Optional<CallFailure> admit(Dispatch dispatch) {
         return lock.with(() -> {
+            if (dispatch.token() <= highestForgotten || handedOn.containsKey(dispatch.token())) {
+                String message = "token " + dispatch.token() + " was handed on before";
+                return Optional.of(CallFailure.of(ErrorKind.FENCED, message).withRan(Ran.UNKNOWN));
+            }
             String refusal = refusal(dispatch);
             if (refusal != null) {
                 return Optional.of(CallFailure.of(ErrorKind.FENCED, refusal));
@@ -102,14 +109,18 @@
     }
 
     /**
-     * Gives an attempt up, whether it has come yet or not, so that it is not handed on later.
+     * Gives an attempt up, whether it has come yet or not, so that it is not handed on later. An entry makes another
+     * attempt, or tells its caller "not run", only after {@link GiveUp#NOT_RUN} or a refusal.
      *
      * @return whether it was handed on before
      */
-    public GiveUp giveUp(long token, GenerationId call, int attempt) {
-        Attempt gone = new Attempt(call, attempt);
+    public GiveUp giveUp(Dispatch dispatch) {
+        Attempt gone = new Attempt(dispatch.call(), dispatch.attempt());
         return lock.with(() -> {
-            if (gone.equals(handedOn.get(token)) || token <= highestForgotten) {
+            if (dispatch.stamp().epoch() != epoch || dispatch.token() <= highestForgotten) {
+                return GiveUp.UNKNOWN;
+            }
+            if (gone.equals(handedOn.get(dispatch.token()))) {
                 return GiveUp.HANDED_ON;
             }
             long now = elapsedMillis();
@@ -132,9 +143,6 @@
         if (givenUp.contains(new Attempt(dispatch.call(), dispatch.attempt()))) {
             return "attempt " + dispatch.attempt() + " was given up by its entry";
         }
-        if (dispatch.token() <= highestForgotten || handedOn.containsKey(dispatch.token())) {
-            return "token " + dispatch.token() + " was handed on before";
-        }
         return null;
     }
 
--- /dev/null
+++ b/leases-log/src/test/java/coriandersill/leases/log/LeaseServiceTest.java
@@ -0,0 +1,128 @@
+package coriandersill.leases.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.core.InstanceId;
+import coriandersill.core.ManualClock;
+import coriandersill.leases.HeldLease;
+import coriandersill.leases.LeaseHolder;
+import coriandersill.leases.LeaseName;
+import coriandersill.platform.ManualScheduler;
+import coriandersill.platform.Scheduler;
+import coriandersill.standins.platform.InMemoryLog;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS V5 and V6 for leases over the log in memory, in virtual time. */
+final class LeaseServiceTest {
+    private static final LeaseName NAME = LeaseName.of("rollout/scribe");
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
+    private final ManualScheduler scheduler = ManualScheduler.of(clock);
+    private final InMemoryLog log = InMemoryLog.of(clock, scheduler);
+    private final List<String> heard = new ArrayList<>();
+    private boolean onePaused;
+    private final LeaseService one = service(
+            "one",
+            (delay, task) -> scheduler.schedule(delay, () -> {
+                if (!onePaused) {
+                    task.run();
+                }
+            }));
+    private final LeaseService two = service("two", scheduler);
+
+    @Test
+    void oneOfTwoHoldsTheLeaseAndKeepsIt() {
+        campaignBoth();
+        long token = one.held(NAME).orElseThrow().token();
+        seconds(60);
+        assertThat(one.held(NAME).map(HeldLease::token).orElse(-1L), is(token));
+        assertThat(two.held(NAME).isPresent(), is(false));
+        assertThat(heard, is(List.of("one won")));
+    }
+
+    @Test
+    void aPausedHolderStopsBeforeAnotherTakesOverWithAHigherToken() {
+        campaignBoth();
+        long token = one.held(NAME).orElseThrow().token();
+        onePaused = true;
+        boolean oneStopped = false;
+        for (int tenth = 0; tenth < 300 && two.held(NAME).isEmpty(); tenth++) {
+            scheduler.advance(Duration.ofMillis(100));
+            oneStopped = one.held(NAME).isEmpty();
+        }
+        assertThat("the holder had stopped when the other won", oneStopped, is(true));
+        assertThat(two.held(NAME).orElseThrow().token(), greaterThan(token));
+    }
+
+    @Test
+    void aHolderLosesTheLeaseInALogOutageAndWinsItAnewAfterIt() {
+        campaignBoth();
+        long token = one.held(NAME).orElseThrow().token();
+        log.faults().down(true);
+        seconds(30);
+        assertThat(one.held(NAME).isPresent() || two.held(NAME).isPresent(), is(false));
+        assertThat(heard, is(List.of("one won", "one lost")));
+        log.faults().down(false);
+        seconds(30);
+        HeldLease next = one.held(NAME).or(() -> two.held(NAME)).orElseThrow();
+        assertThat(next.token(), greaterThan(token));
+    }
+
+    @Test
+    void aLostAnswerLeavesNobodyWithoutTheLease() {
+        log.faults().loseAnswers(1);
+        campaignBoth();
+        assertThat(one.held(NAME).isPresent(), is(true));
+    }
+
+    @Test
+    void aLeaseGivenBackIsTakenAtOnce() {
+        campaignBoth();
+        one.leave(NAME);
+        scheduler.advance(Duration.ofMillis(100));
+        assertThat(two.held(NAME).isPresent(), is(true));
+        assertThat(heard, is(List.of("one won", "one lost", "two won")));
+    }
+
+    private void campaignBoth() {
+        seconds(1);
+        one.campaign(NAME);
+        scheduler.advance(Duration.ofMillis(100));
+        two.campaign(NAME);
+        scheduler.advance(Duration.ofMillis(100));
+    }
+
+    private void seconds(int seconds) {
+        scheduler.advance(Duration.ofSeconds(seconds));
+    }
+
+    private LeaseService service(String name, Scheduler own) {
+        LeaseListener listener = new LeaseListener() {
+            @Override
+            public void won(HeldLease lease) {
+                heard.add(name + " won");
+            }
+
+            @Override
+            public void lost(LeaseName lost) {
+                heard.add(name + " lost");
+            }
+        };
+        LeaseService service = LeaseService.builder(log, own, new LeaseHolder(InstanceId.of(name), 1))
+                .clock(clock)
+                .time(clock)
+                .random(new Random(1))
+                .listener(listener)
+                .build();
+        CompletableFuture<Void> unused = service.start();
+        return service;
+    }
+}
--- a/leases/src/main/java/coriandersill/leases/LeaseRecord.java
+++ b/leases/src/main/java/coriandersill/leases/LeaseRecord.java
@@ -17,8 +17,9 @@
      * @param name the lease
      * @param holder who asks
      * @param term for how long it is held, by the log's clock
+     * @param sequence the number of the holder's record, by which it knows when it sent this one
      */
-    record Acquire(LeaseName name, LeaseHolder holder, Duration term) implements LeaseRecord {}
+    record Acquire(LeaseName name, LeaseHolder holder, Duration term, long sequence) implements LeaseRecord {}
 
     /**
      * Prolongs the lease from the log's time of the record, unless the lease has lapsed.
@@ -27,8 +28,9 @@
      * @param holder who holds it
      * @param token its fencing token
      * @param term for how long it is held
+     * @param sequence the number of the holder's record
      */
-    record Renew(LeaseName name, LeaseHolder holder, long token, Duration term) implements LeaseRecord {}
+    record Renew(LeaseName name, LeaseHolder holder, long token, Duration term, long sequence) implements LeaseRecord {}
 
     /**
      * Gives the lease back.
