--- a/daemon/src/main/java/coriandersill/daemon/Quickstart.java
+++ b/daemon/src/main/java/coriandersill/daemon/Quickstart.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /** Starts an embedded set and streams one generation to the terminal; the program behind {@code bin/quickstart}. */
 public final class Quickstart {
@@ -25,10 +27,11 @@
     public static void main(String[] arguments) throws InterruptedException {
         boolean once = List.of(arguments).contains("--once");
         PrintStream out = System.out;
+        Logger.getLogger("").setLevel(Level.WARNING);
         EmbeddedSet set = EmbeddedSet.create(EmbeddedPlan.small().withPort(once ? 0 : PORT));
         set.start().join();
-        set.connected().join();
-        out.println("Two entries, three sidecars and their upstreams are up. One generation:");
+        set.ready().join();
+        out.println("Two entries, three sidecars, their upstreams and a platform are up. One generation:");
         long tokens = generate(set, out).join();
         out.println();
         out.println(tokens + " tokens, in order.");
--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedConfiguration.java
@@ -0,0 +1,72 @@
+package coriandersill.daemon.embedded;
+
+import coriandersill.configuration.ApiKeyHash;
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.Document;
+import coriandersill.configuration.DocumentEdit;
+import coriandersill.configuration.PlainRoute;
+import coriandersill.configuration.ServiceDocument;
+import coriandersill.configuration.ServiceKind;
+import coriandersill.configuration.VersionCapacity;
+import coriandersill.configuration.WorkspaceDocument;
+import coriandersill.configuration.ZoneDocument;
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.RouteName;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.core.WorkspaceName;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The documents of an embedded set. */
+final class EmbeddedConfiguration {
+    static final VersionName VERSION = VersionName.of("v1");
+    static final VersionName NEXT_VERSION = VersionName.of("v2");
+    static final String API_KEY = "quickstart.secret";
+    private static final long MEMORY_TOKENS = 1_000_000;
+    private static final int COLD_CONCURRENCY = 8;
+
+    private EmbeddedConfiguration() {}
+
+    static AvailabilityZone zone(EmbeddedPlan plan, int number) {
+        return AvailabilityZone.of("zone-" + (char) ('a' + number % plan.zones()));
+    }
+
+    /** Returns the change set that brings all documents into force. */
+    static ChangeSet first(EmbeddedPlan plan) {
+        List<Document> documents = new ArrayList<>();
+        documents.add(service(EmbeddedSet.SCRIBE, ServiceKind.GENERATION, plan, MEMORY_TOKENS, List.of()));
+        documents.add(service(
+                EmbeddedSet.LEDGER,
+                ServiceKind.PLAIN,
+                plan,
+                0,
+                List.of(
+                        new PlainRoute(RouteName.of("lookup"), "GET", "/", true),
+                        new PlainRoute(RouteName.of("change"), "*", "/", false))));
+        documents.add(new WorkspaceDocument(
+                WorkspaceName.of("quickstart"),
+                List.of(ApiKeyHash.of(API_KEY, "salt")),
+                Set.of(EmbeddedSet.SCRIBE, EmbeddedSet.LEDGER),
+                1.0,
+                100_000,
+                10_000_000));
+        for (int i = 0; i < plan.zones(); i++) {
+            documents.add(new ZoneDocument(zone(plan, i), "local", true));
+        }
+        List<DocumentEdit> edits = documents.stream()
+                .map(document -> DocumentEdit.put(document, -1))
+                .toList();
+        return ChangeSet.of("first", "quickstart", "the set's first documents", Instant.now(), -1, edits);
+    }
+
+    private static ServiceDocument service(
+            ServiceName name, ServiceKind kind, EmbeddedPlan plan, long memoryTokens, List<PlainRoute> routes) {
+        int cold = Math.min(COLD_CONCURRENCY, plan.concurrency());
+        VersionCapacity capacity = new VersionCapacity(cold, plan.concurrency(), memoryTokens);
+        return new ServiceDocument(name, kind, VERSION, Map.of(VERSION, capacity, NEXT_VERSION, capacity), routes);
+    }
+}
--- a/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedSet.java
+++ b/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedSet.java
@@ -1,52 +1,41 @@
 package coriandersill.daemon.embedded;
 
-import coriandersill.admission.PredictiveAdmission;
-import coriandersill.configuration.ApiKeyHash;
-import coriandersill.configuration.Configuration;
-import coriandersill.configuration.Document;
-import coriandersill.configuration.DocumentName;
-import coriandersill.configuration.PlainRoute;
-import coriandersill.configuration.ServiceDocument;
-import coriandersill.configuration.ServiceKind;
-import coriandersill.configuration.VersionCapacity;
-import coriandersill.configuration.WorkspaceDocument;
-import coriandersill.configuration.ZoneDocument;
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.log.ApplyResult;
+import coriandersill.configuration.log.ConfigurationClient;
 import coriandersill.core.AvailabilityZone;
 import coriandersill.core.InstanceId;
 import coriandersill.core.ManagedService;
-import coriandersill.core.MonotonicClock;
-import coriandersill.core.RouteName;
 import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
-import coriandersill.core.WorkspaceName;
-import coriandersill.entry.Entry;
-import coriandersill.entry.EntrySettings;
-import coriandersill.platform.ListedInstance;
-import coriandersill.sidecar.Sidecar;
-import coriandersill.sidecar.SidecarSettings;
+import coriandersill.daemon.Daemon;
+import coriandersill.daemon.DaemonSettings;
+import coriandersill.platform.LogPage;
+import coriandersill.platform.PlatformLog;
+import coriandersill.platform.Scheduler;
 import coriandersill.standins.engine.EngineStandIn;
 import coriandersill.standins.engine.PlainStandIn;
-import coriandersill.wire.PeerIdentity;
-import coriandersill.wire.WireLoops;
-import coriandersill.wire.WireSettings;
-import coriandersill.workers.WorkerPool;
+import coriandersill.standins.platform.InMemoryLog;
+import coriandersill.standins.platform.InstanceTable;
+import coriandersill.standins.platform.PlatformServer;
+import coriandersill.standins.platform.WeightShelf;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 
 /**
- * Entries, sidecars and stand-ins on real sockets in one process.
+ * Whole daemons, stand-in upstreams and a stand-in platform on real sockets in one process.
  *
  * <pre>{@code
  * EmbeddedSet set = EmbeddedSet.create(EmbeddedPlan.small());
  * set.start().join();
+ * set.ready().join();
  * call("http://127.0.0.1:" + set.entryPort(0) + "/v1/completions", set.apiKey());
  * }</pre>
  */
@@ -57,22 +46,24 @@
     /** The plain service. */
     public static final ServiceName LEDGER = ServiceName.of("ledger");
 
-    private static final VersionName VERSION = VersionName.of("v1");
     private static final String HOST = "127.0.0.1";
-    private static final String API_KEY = "quickstart.secret";
-    private static final long MEMORY_TOKENS = 1_000_000;
-    private static final int WORKERS = 4;
-    private static final int WORKER_QUEUE = 20_000;
+    private static final Duration INSTANCE_AGE = Duration.ofSeconds(10);
+    private static final DaemonSettings.Workers WORKERS = new DaemonSettings.Workers(2, 20_000);
 
     private final EmbeddedPlan plan;
     private final Vertx vertx = Vertx.vertx();
-    private final WireLoops loops = WireLoops.of(2);
-    private final WorkerPool workers = WorkerPool.of("embedded", WORKERS, WORKER_QUEUE);
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "embedded-timers");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final InMemoryLog log = InMemoryLog.of(InstantSource.system(), Scheduler.of(timers));
+    private final PlatformServer platform =
+            PlatformServer.create(vertx, HOST, 0, log, InstanceTable.of(INSTANCE_AGE), WeightShelf.unlimited());
     private final List<EngineStandIn> engines = new ArrayList<>();
     private final List<PlainStandIn> plains = new ArrayList<>();
-    private final List<Sidecar> sidecars = new ArrayList<>();
-    private final List<Entry> entries = new ArrayList<>();
-    private final List<ListedInstance> listed = new CopyOnWriteArrayList<>();
+    private final List<Daemon> sidecars = new ArrayList<>();
+    private final List<Daemon> entries = new ArrayList<>();
 
     private EmbeddedSet(EmbeddedPlan plan) {
         this.plan = plan;
@@ -85,21 +76,21 @@
 
     /** The API key of the one workspace. */
     public String apiKey() {
-        return API_KEY;
+        return EmbeddedConfiguration.API_KEY;
     }
 
     /** The HTTP port of an entry. */
     public int entryPort(int number) {
-        return entries.get(number).port();
+        return entries.get(number).httpPort();
     }
 
     /** The entries. */
-    public List<Entry> entries() {
+    public List<Daemon> entries() {
         return List.copyOf(entries);
     }
 
     /** The sidecars, those of the engines first. */
-    public List<Sidecar> sidecars() {
+    public List<Daemon> sidecars() {
         return List.copyOf(sidecars);
     }
 
@@ -113,117 +104,129 @@
         return List.copyOf(plains);
     }
 
+    /** The platform's log, with its faults. */
+    public InMemoryLog log() {
+        return log;
+    }
+
+    /** The port of the platform. */
+    public int platformPort() {
+        return platform.port();
+    }
+
+    /** Applies a change set as an operator would. */
+    public CompletableFuture<ApplyResult> apply(ChangeSet change) {
+        return ConfigurationClient.of(nonWaiting(), Scheduler.of(timers), Duration.ofSeconds(10))
+                .apply(change);
+    }
+
+    private PlatformLog nonWaiting() {
+        return new PlatformLog() {
+            @Override
+            public CompletableFuture<Long> append(String stream, List<byte[]> records) {
+                return log.append(stream, records);
+            }
+
+            @Override
+            public CompletableFuture<LogPage> read(String stream, long from, int limit) {
+                return log.readNow(stream, from, limit);
+            }
+        };
+    }
+
     @Override
     public CompletableFuture<Void> start() {
-        workers.start();
-        CompletableFuture<Void> started = CompletableFuture.completedFuture(null);
+        CompletableFuture<Void> started = platform.start()
+                .thenCompose(done -> apply(EmbeddedConfiguration.first(plan)))
+                .thenAccept(EmbeddedSet::checkAccepted);
         for (int i = 0; i < plan.engines(); i++) {
             int number = i;
-            EngineStandIn engine = EngineStandIn.create(vertx, HOST, 0, plan.engine());
-            engines.add(engine);
-            started = started.thenCompose(done -> engine.start())
-                    .thenCompose(done -> startSidecar("scribe-" + number, number, SCRIBE, engine.port()));
+            started = started.thenCompose(done -> addEngine(number, EmbeddedConfiguration.VERSION));
         }
         for (int i = 0; i < plan.plainUpstreams(); i++) {
             int number = i;
-            PlainStandIn plain = PlainStandIn.create(vertx, HOST, 0, plan.plainDelay());
-            plains.add(plain);
-            started = started.thenCompose(done -> plain.start())
-                    .thenCompose(done -> startSidecar("ledger-" + number, number, LEDGER, plain.port()));
+            started = started.thenCompose(done -> addPlain(number));
         }
         for (int i = 0; i < plan.entries(); i++) {
             int number = i;
-            started = started.thenCompose(done -> startEntry(number));
+            started = started.thenCompose(done -> addEntry(number));
         }
         return started;
     }
 
-    private AvailabilityZone zone(int number) {
-        return AvailabilityZone.of("zone-" + (char) ('a' + number % plan.zones()));
+    private static void checkAccepted(ApplyResult result) {
+        if (result.answer() != ApplyResult.Answer.ACCEPTED) {
+            throw new IllegalStateException("first documents: expected them accepted, found " + result);
+        }
     }
 
-    private CompletableFuture<Void> startSidecar(String name, int number, ServiceName service, int upstreamPort) {
-        PeerIdentity self = new PeerIdentity(
-                InstanceId.of(name), System.nanoTime(), "sidecar", zone(number), service.value(), VERSION.value());
-        SidecarSettings settings = new SidecarSettings(
-                WireSettings.of(self), HOST, 0, service, VERSION, HOST, upstreamPort, Duration.ofSeconds(30));
-        Sidecar sidecar = Sidecar.builder(settings, vertx, loops, workers)
-                .admission(PredictiveAdmission.builder(MonotonicClock.system())
-                        .concurrency(cold(), plan.concurrency())
-                        .memoryTokens(service.equals(SCRIBE) ? MEMORY_TOKENS : 0)
-                        .build())
-                .build();
+    /** Adds an engine of a version with its sidecar. */
+    public CompletableFuture<Void> addEngine(int number, VersionName version) {
+        EngineStandIn engine = EngineStandIn.create(vertx, HOST, 0, plan.engine());
+        engines.add(engine);
+        return engine.start()
+                .thenCompose(
+                        done -> addSidecar("scribe-" + version + "-" + number, number, SCRIBE, version, engine.port()));
+    }
+
+    private CompletableFuture<Void> addPlain(int number) {
+        PlainStandIn plain = PlainStandIn.create(vertx, HOST, 0, plan.plainDelay());
+        plains.add(plain);
+        return plain.start()
+                .thenCompose(done ->
+                        addSidecar("ledger-" + number, number, LEDGER, EmbeddedConfiguration.VERSION, plain.port()));
+    }
+
+    private CompletableFuture<Void> addSidecar(
+            String name, int number, ServiceName service, VersionName version, int upstreamPort) {
+        DaemonSettings.SidecarRole role = new DaemonSettings.SidecarRole(
+                service, version, new DaemonSettings.Address(HOST, upstreamPort), Duration.ofSeconds(30));
+        Daemon sidecar = Daemon.of(settings(name, EmbeddedConfiguration.zone(plan, number), role));
         sidecars.add(sidecar);
-        return sidecar.start()
-                .thenRun(() -> listed.add(new ListedInstance(
-                        self.instance(),
-                        "sidecar",
-                        self.zone(),
-                        HOST,
-                        sidecar.port(),
-                        false,
-                        Optional.of(service),
-                        Optional.of(VERSION))));
-    }
-
-    private CompletableFuture<Void> startEntry(int number) {
-        PeerIdentity self =
-                new PeerIdentity(InstanceId.of("entry-" + number), System.nanoTime(), "entry", zone(number), "", "");
-        EntrySettings settings = new EntrySettings(
-                WireSettings.of(self),
-                HOST,
-                plan.port() == 0 ? 0 : plan.port() + number,
-                EntrySettings.CallerLimits.usual(),
-                Duration.ofSeconds(20),
-                4);
-        Configuration configuration = configuration();
-        Entry entry = Entry.builder(settings, vertx, loops, workers)
-                .configuration(() -> configuration)
-                .instances(() -> CompletableFuture.completedFuture(List.copyOf(listed)))
-                .build();
-        entries.add(entry);
-        return entry.start();
+        return sidecar.start();
     }
 
-    private int cold() {
-        return Math.min(4, plan.concurrency());
-    }
-
-    private Configuration configuration() {
-        Map<DocumentName, Document> documents = new HashMap<>();
-        VersionCapacity engine = new VersionCapacity(cold(), plan.concurrency(), MEMORY_TOKENS);
-        VersionCapacity ledger = new VersionCapacity(cold(), plan.concurrency(), 0);
-        List<PlainRoute> routes = List.of(
-                new PlainRoute(RouteName.of("lookup"), "GET", "/", true),
-                new PlainRoute(RouteName.of("change"), "*", "/", false));
-        List<Document> all = new ArrayList<>(List.of(
-                new ServiceDocument(SCRIBE, ServiceKind.GENERATION, VERSION, Map.of(VERSION, engine), List.of()),
-                new ServiceDocument(LEDGER, ServiceKind.PLAIN, VERSION, Map.of(VERSION, ledger), routes),
-                new WorkspaceDocument(
-                        WorkspaceName.of("quickstart"),
-                        List.of(ApiKeyHash.of(API_KEY, "salt")),
-                        Set.of(SCRIBE, LEDGER),
-                        1.0,
-                        100_000,
-                        10_000_000)));
-        for (int i = 0; i < plan.zones(); i++) {
-            all.add(new ZoneDocument(zone(i), "local", true));
-        }
-        all.forEach(document -> documents.put(document.documentName(), document));
-        return new Configuration(0, documents);
+    private CompletableFuture<Void> addEntry(int number) {
+        int port = plan.port() == 0 ? 0 : plan.port() + number;
+        DaemonSettings.EntryRole role = new DaemonSettings.EntryRole(
+                new DaemonSettings.Address(HOST, port), 4 << 20, Duration.ofSeconds(20), 4);
+        Daemon entry = Daemon.of(settings("entry-" + number, EmbeddedConfiguration.zone(plan, number), role));
+        entries.add(entry);
+        return entry.start();
     }
 
-    /** Completes once every entry has every sidecar in service. */
-    public CompletableFuture<Void> connected() {
-        CompletableFuture<Void> connected = new CompletableFuture<>();
-        vertx.setPeriodic(10, timer -> {
-            boolean all = entries.stream().allMatch(entry -> entry.sidecarsInService() >= sidecars.size());
-            if (all) {
+    private DaemonSettings settings(String name, AvailabilityZone zone, DaemonSettings.RoleSettings role) {
+        DaemonSettings.Address free = new DaemonSettings.Address(HOST, 0);
+        return new DaemonSettings(
+                InstanceId.of(name),
+                zone,
+                new DaemonSettings.Address(HOST, platform.port()),
+                free,
+                free,
+                WORKERS,
+                Duration.ofSeconds(5),
+                Optional.empty(),
+                role);
+    }
+
+    /** Completes once every entry is ready and has every sidecar in service. */
+    public CompletableFuture<Void> ready() {
+        CompletableFuture<Void> ready = new CompletableFuture<>();
+        vertx.setPeriodic(20, timer -> {
+            boolean entriesReady = entries.stream().allMatch(this::ready);
+            boolean sidecarsReady = sidecars.stream().allMatch(sidecar -> sidecar.unready() == null);
+            if (entriesReady && sidecarsReady) {
                 vertx.cancelTimer(timer);
-                connected.complete(null);
+                ready.complete(null);
             }
         });
-        return connected;
+        return ready;
+    }
+
+    private boolean ready(Daemon entry) {
+        return entry.unready() == null
+                && entry.status().getInteger("sidecars_in_service") >= sidecars.size()
+                && entry.status().getBoolean("claims_ready");
     }
 
     @Override
@@ -232,9 +235,9 @@
                 .thenCompose(done -> each(sidecars, grace))
                 .thenCompose(done -> each(engines, grace))
                 .thenCompose(done -> each(plains, grace))
-                .thenCompose(done -> loops.stop(Duration.ofMillis(100)))
+                .thenCompose(done -> platform.stop(Duration.ofMillis(100)))
                 .thenCompose(done -> vertx.close().toCompletionStage())
-                .thenCompose(done -> workers.stop(grace));
+                .thenRun(timers::shutdownNow);
     }
 
     private static CompletableFuture<Void> each(List<? extends ManagedService> services, Duration grace) {
--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/internal/Host.java
@@ -0,0 +1,110 @@
+package coriandersill.daemon.internal;
+
+import com.codahale.metrics.MetricRegistry;
+import coriandersill.core.ManagedService;
+import coriandersill.daemon.DaemonSettings;
+import coriandersill.events.EventLog;
+import coriandersill.events.JsonEventLog;
+import coriandersill.platform.Scheduler;
+import coriandersill.platform.http.HttpPlatform;
+import coriandersill.wire.PeerIdentity;
+import coriandersill.wire.WireLoops;
+import coriandersill.wire.WireSettings;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** What every role runs on: event loops, workers, timers, the platform's clients, events and metrics. */
+final class Host implements ManagedService {
+    private static final int WIRE_LOOPS = 2;
+
+    private final DaemonSettings settings;
+    private final long incarnation = System.currentTimeMillis();
+    private final Vertx vertx = Vertx.vertx();
+    private final WireLoops loops = WireLoops.of(WIRE_LOOPS);
+    private final WorkerPool workers;
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "timers");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Scheduler scheduler = Scheduler.of(timers);
+    private final SecureRandom random = new SecureRandom();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final EventLog events;
+    private final HttpPlatform platform;
+
+    Host(DaemonSettings settings) {
+        this.settings = settings;
+        this.workers = WorkerPool.of(
+                settings.instance().value(),
+                settings.workers().threads(),
+                settings.workers().queue());
+        this.events = JsonEventLog.of(settings.instance().value(), InstantSource.system());
+        this.platform = HttpPlatform.builder(
+                        vertx, settings.platform().host(), settings.platform().port())
+                .executor(workers::executeOrRun)
+                .build();
+    }
+
+    WireSettings wire(String role, String service, String version) {
+        PeerIdentity self = new PeerIdentity(settings.instance(), incarnation, role, settings.zone(), service, version);
+        WireSettings wire = WireSettings.of(self);
+        return settings.tls().map(wire::withTls).orElse(wire);
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    Vertx vertx() {
+        return vertx;
+    }
+
+    WireLoops loops() {
+        return loops;
+    }
+
+    WorkerPool workers() {
+        return workers;
+    }
+
+    Scheduler scheduler() {
+        return scheduler;
+    }
+
+    SecureRandom random() {
+        return random;
+    }
+
+    MetricRegistry metrics() {
+        return metrics;
+    }
+
+    EventLog events() {
+        return events;
+    }
+
+    HttpPlatform platform() {
+        return platform;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return workers.start();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        timers.shutdownNow();
+        return platform.stop(grace)
+                .thenCompose(done -> loops.stop(Duration.ofMillis(200)))
+                .thenCompose(done -> vertx.close().toCompletionStage())
+                .thenCompose(done -> workers.stop(grace));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/internal/Registration.java
@@ -0,0 +1,50 @@
+package coriandersill.daemon.internal;
+
+import coriandersill.core.ManagedService;
+import coriandersill.events.EventCode;
+import coriandersill.events.EventLog;
+import coriandersill.platform.InstanceRegistry;
+import coriandersill.platform.ListedInstance;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Renews this instance's line of the platform's list. */
+final class Registration implements ManagedService {
+    private static final long INTERVAL_MILLIS = 2_000;
+
+    private final Vertx vertx;
+    private final InstanceRegistry registry;
+    private final Supplier<ListedInstance> line;
+    private final EventLog events;
+    private long timer = -1;
+
+    Registration(Vertx vertx, InstanceRegistry registry, Supplier<ListedInstance> line, EventLog events) {
+        this.vertx = vertx;
+        this.registry = registry;
+        this.line = line;
+        this.events = events;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        timer = vertx.setPeriodic(0, INTERVAL_MILLIS, tick -> renew());
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /** Renews at once, for example when the instance begins to leave. */
+    CompletableFuture<Void> renew() {
+        return registry.register(line.get()).exceptionally(error -> {
+            events.record(EventCode.INSTANCE_LIST_DOUBTED, Map.of("why", String.valueOf(error.getMessage())));
+            return null;
+        });
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        vertx.cancelTimer(timer);
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/internal/RolloutReport.java
@@ -0,0 +1,27 @@
+package coriandersill.daemon.internal;
+
+import coriandersill.rollout.log.RolloutStatus;
+import io.vertx.core.json.JsonObject;
+
+/** Shows operators where a rollout stands. */
+final class RolloutReport {
+    private RolloutReport() {}
+
+    static JsonObject of(RolloutStatus status, double share) {
+        JsonObject report = new JsonObject()
+                .put("service", status.plan().id().service().value())
+                .put("declared_at", status.plan().id().declaredAt())
+                .put("from", status.plan().from().value())
+                .put("to", status.plan().to().value())
+                .put("deadline", status.plan().deadline().toString())
+                .put("share", share)
+                .put("next_step", status.nextStep())
+                .put("judgement", status.judgement().toString());
+        status.state()
+                .ifPresent(state -> report.put("phase", state.phase().name()).put("evidence", state.evidence()));
+        status.localStop()
+                .ifPresent(
+                        stop -> report.put("stopped_by", stop.source().value()).put("stopped_for", stop.evidence()));
+        return report;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/internal/RunningDaemon.java
@@ -0,0 +1,78 @@
+package coriandersill.daemon.internal;
+
+import coriandersill.core.ManagedService;
+import coriandersill.daemon.DaemonSettings;
+import coriandersill.events.EventCode;
+import coriandersill.operations.OperationsServer;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** A role on its host, with the listener for operators. */
+public final class RunningDaemon implements ManagedService {
+    private final Host host;
+    private final RoleAssembly role;
+    private final OperationsServer operations;
+
+    private RunningDaemon(DaemonSettings settings) {
+        this.host = new Host(settings);
+        this.role = assemble(host, settings);
+        this.operations = OperationsServer.create(
+                        host.vertx(),
+                        settings.operations().host(),
+                        settings.operations().port(),
+                        host.metrics(),
+                        role::unready)
+                .page("/status", role::status);
+    }
+
+    private static RoleAssembly assemble(Host host, DaemonSettings settings) {
+        if (settings.role() instanceof DaemonSettings.EntryRole entry) {
+            return new EntryAssembly(host, settings, entry);
+        }
+        return new SidecarAssembly(host, settings, (DaemonSettings.SidecarRole) settings.role());
+    }
+
+    /** Returns a daemon that is not started. */
+    public static RunningDaemon of(DaemonSettings settings) {
+        return new RunningDaemon(settings);
+    }
+
+    /** The port for operators, once started. */
+    public int operationsPort() {
+        return operations.port();
+    }
+
+    /** The port for callers, once started; -1 for a sidecar. */
+    public int httpPort() {
+        return role.status().getInteger("http_port", -1);
+    }
+
+    /** What an operator sees. */
+    public JsonObject status() {
+        return role.status();
+    }
+
+    /** Why the daemon is not ready, or null. */
+    public String unready() {
+        return role.unready();
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return host.start()
+                .thenCompose(done -> operations.start())
+                .thenCompose(done -> role.start())
+                .thenRun(() ->
+                        host.events().record(EventCode.DAEMON_READY, Map.of("operations_port", operations.port())));
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        return role.stop(grace)
+                .thenRun(() -> host.events().record(EventCode.DAEMON_STOPPED, Map.of()))
+                .thenCompose(done -> operations.stop(grace))
+                .thenCompose(done -> host.stop(grace));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/coriandersill/daemon/internal/SidecarAssembly.java
@@ -0,0 +1,207 @@
+package coriandersill.daemon.internal;
+
+import coriandersill.admission.PredictiveAdmission;
+import coriandersill.admission.SuccessiveAdmission;
+import coriandersill.configuration.Configuration;
+import coriandersill.configuration.VersionCapacity;
+import coriandersill.configuration.log.ConfigurationService;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.MonotonicClock;
+import coriandersill.core.WorkspaceName;
+import coriandersill.daemon.DaemonSettings;
+import coriandersill.idempotency.ClaimKey;
+import coriandersill.idempotency.Dispatch;
+import coriandersill.idempotency.DispatchGate;
+import coriandersill.idempotency.GateStamp;
+import coriandersill.idempotency.IdempotencyKey;
+import coriandersill.platform.ListedInstance;
+import coriandersill.sidecar.DispatchCheck;
+import coriandersill.sidecar.PingSource;
+import coriandersill.sidecar.Sidecar;
+import coriandersill.sidecar.SidecarSettings;
+import coriandersill.wire.Message;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Puts a sidecar together: the gate, its last check for calls that may not be repeated, and the configuration.
+ *
+ * <p>A sidecar reads no log: it learns the configuration from the entries that connect to it.
+ */
+final class SidecarAssembly implements RoleAssembly {
+    private static final Duration STAMP_LIMIT = Duration.ofSeconds(5);
+    private static final int REMEMBERED_TOKENS = 100_000;
+
+    private final Host host;
+    private final DaemonSettings settings;
+    private final DaemonSettings.SidecarRole role;
+    private final ConfigurationService configuration;
+    private final SuccessiveAdmission admission = SuccessiveAdmission.closed("no configuration is proven");
+    private final DispatchGate gate;
+    private final Sidecar sidecar;
+    private final Registration registration;
+    private volatile boolean leaving;
+    private Optional<VersionCapacity> capacity = Optional.empty();
+
+    SidecarAssembly(Host host, DaemonSettings settings, DaemonSettings.SidecarRole role) {
+        this.host = host;
+        this.settings = settings;
+        this.role = role;
+        this.gate = DispatchGate.of(MonotonicClock.system(), host.random(), STAMP_LIMIT, REMEMBERED_TOKENS);
+        this.configuration = ConfigurationService.builder(
+                        settings.instance(), host.platform().log(), host.scheduler())
+                .peersOnly()
+                .catchUpDelay(Duration.ZERO)
+                .executor(host.workers()::executeOrRun)
+                .random(host.random())
+                .events(host.events())
+                .build();
+        SidecarSettings sidecarSettings = new SidecarSettings(
+                host.wire("sidecar", role.service().value(), role.version().value()),
+                settings.wire().host(),
+                settings.wire().port(),
+                role.service(),
+                role.version(),
+                role.upstream().host(),
+                role.upstream().port(),
+                role.upstreamTimeout());
+        this.sidecar = Sidecar.builder(sidecarSettings, host.vertx(), host.loops(), host.workers())
+                .admission(admission)
+                .check(new Check())
+                .pings(new Pings())
+                .events(host.events())
+                .metrics(host.metrics())
+                .peerMessages(new PeerStates(configuration, host.workers(), host.events(), data -> {}))
+                .build();
+        this.registration = new Registration(host.vertx(), host.platform().registry(), this::line, host.events());
+        configuration.addListener(this::inForce);
+    }
+
+    /** Called by one thread at a time. */
+    private void inForce(Configuration current) {
+        Optional<VersionCapacity> found = current.service(role.service())
+                .map(service -> service.versions().get(role.version()));
+        if (!found.equals(capacity)) {
+            capacity = found;
+            found.ifPresent(this::open);
+        }
+    }
+
+    private void open(VersionCapacity found) {
+        sidecar.carryOut(admission.succeed(PredictiveAdmission.builder(MonotonicClock.system())
+                .concurrency(found.coldConcurrency(), found.maxConcurrency())
+                .memoryTokens(found.memoryTokens())
+                .build()));
+    }
+
+    private ListedInstance line() {
+        return new ListedInstance(
+                settings.instance(),
+                "sidecar",
+                settings.zone(),
+                settings.wire().host(),
+                sidecar.port(),
+                leaving,
+                Optional.of(role.service()),
+                Optional.of(role.version()));
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return configuration.start().thenCompose(done -> sidecar.start()).thenCompose(done -> registration.start());
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        leaving = true;
+        sidecar.drain();
+        return registration
+                .renew()
+                .thenCompose(done -> sidecar.stop(grace))
+                .thenCompose(done -> configuration.stop(grace))
+                .thenCompose(done -> registration.stop(grace));
+    }
+
+    @Override
+    public String unready() {
+        if (leaving) {
+            return "draining";
+        }
+        return configuration.ready() ? null : "no configuration is proven";
+    }
+
+    @Override
+    public JsonObject status() {
+        var load = sidecar.admission().load();
+        return new JsonObject()
+                .put("instance", settings.instance().value())
+                .put("role", "sidecar")
+                .put("zone", settings.zone().value())
+                .put("service", role.service().value())
+                .put("version", role.version().value())
+                .put("wire_port", sidecar.port())
+                .put("configuration_position", configuration.state().position())
+                .put("configuration_ready", configuration.ready())
+                .put("running", load.running())
+                .put("waiting", load.waiting())
+                .put("limit", load.limit())
+                .put("cold", load.cold())
+                .put("reserved_tokens", load.reservedTokens())
+                .put("draining", leaving);
+    }
+
+    /** Refuses work in an availability zone that is out, and lets a call that may not be repeated through once. */
+    private final class Check implements DispatchCheck {
+        @Override
+        public Optional<CallFailure> arriving(Message.Dispatch dispatch) {
+            boolean out = configuration
+                    .current()
+                    .zone(settings.zone())
+                    .filter(zone -> !zone.inService())
+                    .isPresent();
+            return out
+                    ? Optional.of(CallFailure.of(
+                            ErrorKind.UNAVAILABLE, "availability zone " + settings.zone() + " is out of service"))
+                    : Optional.empty();
+        }
+
+        @Override
+        public Optional<CallFailure> handingOn(Message.Dispatch dispatch) {
+            return dispatch.onceOnly().flatMap(onceOnly -> admitOnce(dispatch, onceOnly));
+        }
+
+        private Optional<CallFailure> admitOnce(Message.Dispatch dispatch, Message.OnceOnly onceOnly) {
+            try {
+                IdempotencyKey key = IdempotencyKey.parse(onceOnly.key());
+                ClaimKey claim = ClaimKey.of(WorkspaceName.of(dispatch.target().workspace()), key);
+                GateStamp stamp =
+                        new GateStamp(onceOnly.stamp().epoch(), onceOnly.stamp().sequence());
+                return gate.admit(new Dispatch(
+                        claim,
+                        onceOnly.fencingToken(),
+                        dispatch.call().id(),
+                        dispatch.call().attempt(),
+                        stamp));
+            } catch (IllegalArgumentException malformed) {
+                return Optional.of(CallFailure.of(ErrorKind.INVALID_REQUEST, malformed.getMessage()));
+            }
+        }
+    }
+
+    /** Stamps come from the gate that will judge them. */
+    private final class Pings implements PingSource {
+        @Override
+        public long configurationOffset() {
+            return configuration.digest().position();
+        }
+
+        @Override
+        public Optional<Message.Stamp> stamp() {
+            GateStamp stamp = gate.stamp();
+            return Optional.of(new Message.Stamp(stamp.epoch(), stamp.elapsedMillis()));
+        }
+    }
+}
--- a/documents/src/main/java/coriandersill/documents/DocumentCodec.java
+++ b/documents/src/main/java/coriandersill/documents/DocumentCodec.java
@@ -20,7 +20,6 @@
 import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
 import coriandersill.core.WorkspaceName;
-import coriandersill.documents.internal.FieldReader;
 import coriandersill.documents.internal.Json;
 import java.util.ArrayList;
 import java.util.List;
--- a/documents/src/main/java/coriandersill/documents/internal/FieldReader.java
+++ b/documents/src/main/java/coriandersill/documents/FieldReader.java
@@ -1,8 +1,9 @@
-package coriandersill.documents.internal;
+package coriandersill.documents;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import coriandersill.configuration.Problem;
+import coriandersill.documents.internal.Json;
 import java.math.BigDecimal;
 import java.time.DateTimeException;
 import java.time.Duration;
@@ -51,6 +52,16 @@
         return new FieldReader(document, "", node, problems);
     }
 
+    /** Returns a reader of a JSON text that adds to {@code problems}, first of all when it is no JSON. */
+    public static FieldReader parse(String document, byte[] bytes, List<Problem> problems) {
+        Json.Parsed parsed = Json.parse(document, bytes);
+        if (parsed.problem().isPresent()) {
+            problems.add(parsed.problem().get());
+            return new FieldReader(document, "", JsonNodeFactory.instance.objectNode(), new ArrayList<>());
+        }
+        return of(document, parsed.node(), problems);
+    }
+
     /** Whether the field is there and not null. */
     public boolean has(String field) {
         return node != null && node.hasNonNull(field);
--- a/documents/src/main/java/coriandersill/documents/HistoryCodec.java
+++ b/documents/src/main/java/coriandersill/documents/HistoryCodec.java
@@ -8,7 +8,6 @@
 import coriandersill.configuration.Problem;
 import coriandersill.configuration.Verdict;
 import coriandersill.configuration.Verdict.DocumentConflict;
-import coriandersill.documents.internal.FieldReader;
 import coriandersill.documents.internal.Json;
 import java.util.ArrayList;
 import java.util.List;
--- a/documents/src/main/java/coriandersill/documents/RecordCodec.java
+++ b/documents/src/main/java/coriandersill/documents/RecordCodec.java
@@ -17,7 +17,6 @@
 import coriandersill.configuration.VersionedDocument;
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
-import coriandersill.documents.internal.FieldReader;
 import coriandersill.documents.internal.Json;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/entry/src/main/java/coriandersill/entry/Entry.java
+++ b/entry/src/main/java/coriandersill/entry/Entry.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import coriandersill.configuration.Configuration;
+import coriandersill.core.InstanceId;
 import coriandersill.core.ManagedService;
 import coriandersill.core.MonotonicClock;
 import coriandersill.entry.internal.EntryContext;
@@ -13,6 +14,8 @@
 import coriandersill.membership.PlanSettings;
 import coriandersill.membership.Regions;
 import coriandersill.platform.InstanceList;
+import coriandersill.quota.LocalQuota;
+import coriandersill.quota.WorkspaceQuota;
 import coriandersill.routing.BudgetedRetry;
 import coriandersill.routing.RetryBudget;
 import coriandersill.routing.RetryPolicy;
@@ -26,9 +29,11 @@
 import io.vertx.core.Vertx;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -54,8 +59,11 @@
                 builder.vertx,
                 builder.workers,
                 Objects.requireNonNull(builder.configuration, "configuration"),
+                builder.position(),
                 builder.versions,
                 builder.retries(),
+                builder.quota,
+                builder.observer,
                 builder.clock,
                 builder.random,
                 builder.events,
@@ -101,6 +109,21 @@
         parts.configurationChanged();
     }
 
+    /** The port of the wire listener for other entries, once started. */
+    public int peerPort() {
+        return parts.peerPort();
+    }
+
+    /** The entries that are in the list of instances, this one included, in order of name. */
+    public List<InstanceId> entries() {
+        return parts.entries();
+    }
+
+    /** Sends a message to another entry if it is connected; returns whether it was. */
+    public boolean sendTo(InstanceId instance, Message message) {
+        return parts.sendTo(instance, message);
+    }
+
     /** Sends a message to every connected sidecar, for example a rollout verdict. */
     public void broadcast(Message message) {
         parts.broadcast(message);
@@ -128,11 +151,14 @@
         private final WireLoops loops;
         private final WorkerPool workers;
         private Supplier<Configuration> configuration;
+        private Optional<LongSupplier> position = Optional.empty();
         private InstanceList instances;
         private VersionChoice versions = VersionChoice.current();
         private MembershipSettings membership = MembershipSettings.standard();
         private PlanSettings connections = PlanSettings.standard();
         private Optional<RoutingPolicy> routing = Optional.empty();
+        private WorkspaceQuota quota = LocalQuota.create(MonotonicClock.system());
+        private CallObserver observer = CallObserver.none();
         private OnceOnlyCalls onceOnly = OnceOnlyCalls.unavailable();
         private MonotonicClock clock = MonotonicClock.system();
         private RandomGenerator random = new SecureRandom();
@@ -153,6 +179,12 @@
             return this;
         }
 
+        /** Sets what pings say of the configuration; the configuration's offset unless set. */
+        public Builder position(LongSupplier other) {
+            position = Optional.of(other);
+            return this;
+        }
+
         /** Sets the list of instances. */
         public Builder instances(InstanceList other) {
             instances = Objects.requireNonNull(other, "instances");
@@ -183,6 +215,18 @@
             return this;
         }
 
+        /** Sets who holds workspaces to their caps. */
+        public Builder quota(WorkspaceQuota other) {
+            quota = Objects.requireNonNull(other, "quota");
+            return this;
+        }
+
+        /** Sets who hears how attempts went. */
+        public Builder observer(CallObserver other) {
+            observer = Objects.requireNonNull(other, "observer");
+            return this;
+        }
+
         /** Sets who decides about calls that may not be repeated. */
         public Builder onceOnly(OnceOnlyCalls other) {
             onceOnly = Objects.requireNonNull(other, "onceOnly");
@@ -219,6 +263,10 @@
             return this;
         }
 
+        private LongSupplier position() {
+            return position.orElse(() -> configuration.get().offset());
+        }
+
         private Router router() {
             RouterBuilder router = Router.builder(clock, random);
             routing.ifPresent(router::policy);
--- a/entry/src/main/java/coriandersill/entry/EntrySettings.java
+++ b/entry/src/main/java/coriandersill/entry/EntrySettings.java
@@ -11,17 +11,27 @@
  * @param wire the wire, with this process's identity
  * @param host the IP number of its HTTP listener
  * @param port the port of its HTTP listener; 0 takes any free one
+ * @param peerHost the IP number of its wire listener for other entries
+ * @param peerPort the port of its wire listener; 0 takes any free one
  * @param limits bounds on what callers may send
  * @param firstTokenDeadline how long a call may wait for its first token or its answer
  * @param mostAttempts the most attempts at one call, 1 or more
  */
 public record EntrySettings(
-        WireSettings wire, String host, int port, CallerLimits limits, Duration firstTokenDeadline, int mostAttempts) {
+        WireSettings wire,
+        String host,
+        int port,
+        String peerHost,
+        int peerPort,
+        CallerLimits limits,
+        Duration firstTokenDeadline,
+        int mostAttempts) {
 
     /** Refuses null. */
     public EntrySettings {
         Objects.requireNonNull(wire, "wire");
         Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(peerHost, "peerHost");
         Objects.requireNonNull(limits, "limits");
         Objects.requireNonNull(firstTokenDeadline, "firstTokenDeadline");
     }
--- a/entry/src/main/java/coriandersill/entry/OnceOnlyCalls.java
+++ b/entry/src/main/java/coriandersill/entry/OnceOnlyCalls.java
@@ -45,6 +45,9 @@
     /** Notes that a claimed call was not run and will not be, so that the key may be claimed again. */
     void released(Claim.Won claim);
 
+    /** Notes that it cannot be known whether a claimed call ran; its key stays claimed. */
+    void abandoned(Claim.Won claim);
+
     /** Returns a stock policy that refuses every such call, for a process without the platform's log. */
     static OnceOnlyCalls unavailable() {
         return new OnceOnlyCalls() {
@@ -63,6 +66,11 @@
             public void released(Claim.Won claim) {
                 throw new IllegalStateException("no claim is ever won here");
             }
+
+            @Override
+            public void abandoned(Claim.Won claim) {
+                throw new IllegalStateException("no claim is ever won here");
+            }
         };
     }
 }
--- a/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
@@ -5,6 +5,7 @@
 import coriandersill.core.GenerationId;
 import coriandersill.core.InstanceId;
 import coriandersill.core.Ran;
+import coriandersill.entry.CallObserver;
 import coriandersill.events.EventCode;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
@@ -396,10 +397,28 @@
     }
 
     private void leave(CallResult result) {
-        selection.ifPresent(found -> directory.finished(found.instance(), request, result));
+        selection.ifPresent(found -> {
+            directory.finished(found.instance(), request, result);
+            observe(found, result);
+        });
         selection = Optional.empty();
     }
 
+    private void observe(Selection found, CallResult result) {
+        boolean failed = result.kind() == CallResult.Kind.FAILED;
+        if (failed || result.kind() == CallResult.Kind.OK) {
+            entry.observer()
+                    .observed(new CallObserver.ObservedCall(
+                            plan.service().name(),
+                            found.version(),
+                            plan.route(),
+                            found.connection().peer().zone(),
+                            failed,
+                            failed ? -1 : result.firstTokenNanos(),
+                            result.tokens() < 2 ? -1 : result.betweenTokensNanos()));
+        }
+    }
+
     private CallResult succeeded() {
         long answered = nextIndex == 0 ? entry.clock().nanos() : firstTokenNanos;
         long between = nextIndex < 2 ? 0 : (lastTokenNanos - firstTokenNanos) / (nextIndex - 1);
--- a/entry/src/main/java/coriandersill/entry/internal/CallService.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallService.java
@@ -77,6 +77,21 @@
         return entry.clock().nanos() + entry.settings().firstTokenDeadline().toNanos();
     }
 
+    /** Takes a call out of its workspace's share; throws {@code QUOTA_EXCEEDED}. */
+    void charge(CallPlan plan) {
+        entry.quota()
+                .tryAcquire(plan.workspace().name(), plan.predictedTokens())
+                .ifPresent(failure -> {
+                    throw failure;
+                });
+    }
+
+    /** Gives a call back to its workspace's share, with the tokens that it really took. */
+    void settle(CallPlan plan, long tokens) {
+        int taken = plan.work().generation() ? plan.promptTokens() + (int) Math.min(tokens, Integer.MAX_VALUE / 2) : 0;
+        entry.quota().settle(plan.workspace().name(), plan.predictedTokens(), taken);
+    }
+
     /** Begins a call on the present Vert.x context. */
     CallDriver open(CallPlan plan, Optional<Message.OnceOnly> onceOnly, AnswerSink sink) {
         entry.metrics().counter("calls.started").inc();
--- a/entry/src/main/java/coriandersill/entry/internal/CompletionsHandler.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CompletionsHandler.java
@@ -64,6 +64,7 @@
                 request.promptTokens(),
                 request.maxTokens(),
                 calls.deadlineNanos());
+        calls.charge(plan);
         return new Planned(plan, request, chat);
     }
 
@@ -77,9 +78,10 @@
         response.exceptionHandler(error -> driver.cancel());
         response.closeHandler(closed -> driver.cancel());
         if (response.closed()) {
+            calls.settle(planned.plan(), 0);
             return;
         }
-        driver.start();
+        driver.start().thenAccept(ending -> calls.settle(planned.plan(), ending.tokens()));
     }
 
     /** Calls of one session, or else with one prefix, have one hash. */
--- a/entry/src/main/java/coriandersill/entry/internal/EntryContext.java
+++ b/entry/src/main/java/coriandersill/entry/internal/EntryContext.java
@@ -3,12 +3,15 @@
 import com.codahale.metrics.MetricRegistry;
 import coriandersill.configuration.Configuration;
 import coriandersill.core.MonotonicClock;
+import coriandersill.entry.CallObserver;
 import coriandersill.entry.EntrySettings;
 import coriandersill.entry.VersionChoice;
 import coriandersill.events.EventLog;
+import coriandersill.quota.WorkspaceQuota;
 import coriandersill.routing.RetryPolicy;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -19,8 +22,11 @@
  * @param vertx runs the HTTP listener and timers
  * @param workers run decisions
  * @param configuration the accepted configuration
+ * @param position the position of the proven configuration, for pings
  * @param versions chooses versions
  * @param retries decides whether an attempt is followed by another
+ * @param quota holds workspaces to their caps
+ * @param observer hears how attempts went
  * @param clock times calls
  * @param random draws identities and delays
  * @param events takes events
@@ -31,8 +37,11 @@
         Vertx vertx,
         WorkerPool workers,
         Supplier<Configuration> configuration,
+        LongSupplier position,
         VersionChoice versions,
         RetryPolicy retries,
+        WorkspaceQuota quota,
+        CallObserver observer,
         MonotonicClock clock,
         RandomGenerator random,
         EventLog events,
--- a/entry/src/main/java/coriandersill/entry/internal/EntryParts.java
+++ b/entry/src/main/java/coriandersill/entry/internal/EntryParts.java
@@ -1,5 +1,6 @@
 package coriandersill.entry.internal;
 
+import coriandersill.core.InstanceId;
 import coriandersill.core.ManagedService;
 import coriandersill.entry.OnceOnlyCalls;
 import coriandersill.events.EventCode;
@@ -10,7 +11,9 @@
 import coriandersill.wire.Message;
 import coriandersill.wire.WireListener;
 import coriandersill.wire.WireLoops;
+import coriandersill.wire.WireServer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +25,7 @@
     private final CallService calls;
     private final SidecarLinks links;
     private final HttpFront front;
+    private final WireServer server;
 
     private EntryParts(
             EntryContext entry,
@@ -36,6 +40,12 @@
         this.directory = new SidecarDirectory(members, router, entry.configuration());
         this.calls = new CallService(entry, directory);
         this.links = new SidecarLinks(entry, loops, list, members, connections, directory, calls, peerMessages);
+        this.server = WireServer.create(
+                entry.settings().wire(),
+                loops,
+                entry.settings().peerHost(),
+                entry.settings().peerPort(),
+                links.accepting());
         this.front = HttpFront.create(entry, calls, onceOnly);
     }
 
@@ -57,6 +67,21 @@
         return front.port();
     }
 
+    /** The port of the wire listener for other entries, once started. */
+    public int peerPort() {
+        return server.port();
+    }
+
+    /** The listed entries, this one included, in order of name. */
+    public List<InstanceId> entries() {
+        return links.entries();
+    }
+
+    /** Sends a message to another entry if it is connected. */
+    public boolean sendTo(InstanceId instance, Message message) {
+        return links.sendTo(instance, message);
+    }
+
     /** How many sidecars a call may go to. */
     public int sidecarsInService() {
         return directory.inService();
@@ -90,7 +115,7 @@
 
     @Override
     public CompletableFuture<Void> start() {
-        return links.start().thenCompose(linked -> front.start());
+        return server.start().thenCompose(bound -> links.start()).thenCompose(linked -> front.start());
     }
 
     @Override
@@ -100,7 +125,9 @@
             if (!drained) {
                 entry.events().record(EventCode.DRAIN_DEADLINE, Map.of("open", calls.openCalls()));
             }
-            return front.stop(grace).thenCompose(stopped -> links.stop(grace));
+            return front.stop(grace)
+                    .thenCompose(stopped -> links.stop(grace))
+                    .thenCompose(stopped -> server.stop(grace));
         });
     }
 }
--- a/entry/src/main/java/coriandersill/entry/internal/PlainHandler.java
+++ b/entry/src/main/java/coriandersill/entry/internal/PlainHandler.java
@@ -104,7 +104,7 @@
                     KEY_HEADER + ": expected a UUID of version 7, found none; route " + route.name()
                             + " may not be repeated");
         }
-        return new CallPlan(
+        CallPlan plan = new CallPlan(
                 calls.newId(),
                 workspace,
                 service,
@@ -115,14 +115,18 @@
                 0,
                 0,
                 calls.deadlineNanos());
+        calls.charge(plan);
+        return plan;
     }
 
     private void claim(HttpServerResponse response, Received received, CallPlan plan, Context context) {
         onceOnly.claim(plan.workspace().name(), received.key(), identity(plan))
                 .whenComplete((claim, error) -> context.runOnContext(now -> {
                     if (error != null) {
+                        calls.settle(plan, 0);
                         Responses.fail(response, CallFailure.from(error));
                     } else if (claim instanceof OnceOnlyCalls.Claim.Replayed replayed) {
+                        calls.settle(plan, 0);
                         replay(response, replayed);
                     } else if (claim instanceof OnceOnlyCalls.Claim.Won won) {
                         Message.OnceOnly carried =
@@ -165,7 +169,10 @@
             response.exceptionHandler(error -> driver.cancel());
             response.closeHandler(closed -> driver.cancel());
         }
-        driver.start().thenAccept(ending -> won.ifPresent(claim -> settle(claim, ending)));
+        driver.start().thenAccept(ending -> {
+            calls.settle(plan, 0);
+            won.ifPresent(claim -> settle(claim, ending));
+        });
     }
 
     private void settle(OnceOnlyCalls.Claim.Won claim, CallDriver.Ending ending) {
@@ -174,6 +181,8 @@
             onceOnly.completed(claim, answer.status(), contentType(answer), answer.body());
         } else if (ending.failure().filter(failure -> failure.ran() == Ran.NO).isPresent()) {
             onceOnly.released(claim);
+        } else {
+            onceOnly.abandoned(claim);
         }
     }
 
--- a/entry/src/main/java/coriandersill/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/coriandersill/entry/internal/SidecarLinks.java
@@ -42,6 +42,7 @@
  */
 final class SidecarLinks implements ManagedService {
     private static final String SIDECAR = "sidecar";
+    private static final int FULL_MESH_ENTRIES = 32;
     private static final long POLL_MILLIS = 1_000;
 
     private final EntryContext entry;
@@ -109,7 +110,7 @@
     private void ping() {
         Message ping = new Message.Ping(
                 pingSequence.incrementAndGet(),
-                entry.configuration().get().offset(),
+                entry.position().getAsLong(),
                 Optional.empty(),
                 Optional.empty(),
                 calls.draining());
@@ -137,14 +138,49 @@
         changed(verdict.changes());
         List<Member> entries = members.connectable(Role.ENTRY);
         List<Member> sidecars = members.connectable(Role.SIDECAR);
-        Set<InstanceId> wanted = plan.sidecarsFor(self(), withSelf(entries), sidecars);
+        Set<InstanceId> wanted = new HashSet<>(plan.sidecarsFor(self(), withSelf(entries), sidecars));
+        wanted.addAll(wantedEntries(entries));
+        List<Member> connectable = new ArrayList<>(sidecars);
+        connectable.addAll(entries);
         lock.run(() -> {
-            sidecars.stream().filter(member -> wanted.contains(member.id())).forEach(this::link);
-            unlinkUnwanted(sidecars, wanted);
+            connectable.stream().filter(member -> wanted.contains(member.id())).forEach(this::link);
+            unlinkUnwanted(connectable, wanted);
         });
         listed = true;
     }
 
+    /** All other entries while they are few; else those that the plan names as peers. */
+    private Set<InstanceId> wantedEntries(List<Member> entries) {
+        InstanceId self = self().id();
+        Set<InstanceId> wanted = new HashSet<>();
+        if (entries.size() <= FULL_MESH_ENTRIES) {
+            entries.forEach(member -> wanted.add(member.id()));
+        } else {
+            wanted.addAll(plan.peersFor(self(), withSelf(entries)));
+        }
+        wanted.remove(self);
+        return wanted;
+    }
+
+    List<InstanceId> entries() {
+        return withSelf(members.connectable(Role.ENTRY)).stream()
+                .map(Member::id)
+                .sorted()
+                .toList();
+    }
+
+    boolean sendTo(InstanceId instance, Message message) {
+        Optional<WireConnection> open = lock.with(() -> Optional.ofNullable(links.get(instance)))
+                .flatMap(linked -> linked.link().connection());
+        open.ifPresent(connection -> connection.send(message));
+        return open.isPresent();
+    }
+
+    /** Returns the listener for connections that other entries open. */
+    WireListener accepting() {
+        return new Accepted();
+    }
+
     private static Listing listing(ListedInstance instance) {
         Role role = instance.role().equals(SIDECAR) ? Role.SIDECAR : Role.ENTRY;
         Member member = new Member(
@@ -243,6 +279,26 @@
                 sidecar ? Optional.of(VersionName.of(peer.version())) : Optional.empty());
     }
 
+    /** Takes connections of other entries: keeps them alive and passes messages on. */
+    private final class Accepted implements WireListener {
+        @Override
+        public void connected(WireConnection connection) {
+            connections.add(connection);
+            peerMessages.ifPresent(listener -> listener.connected(connection));
+        }
+
+        @Override
+        public void received(WireConnection connection, Message message) {
+            peerMessages.ifPresent(listener -> listener.received(connection, message));
+        }
+
+        @Override
+        public void disconnected(WireConnection connection) {
+            connections.remove(connection);
+            peerMessages.ifPresent(listener -> listener.disconnected(connection));
+        }
+    }
+
     /** Hands what comes from sidecars to the directory and to the calls. */
     private final class Listener implements WireListener {
         @Override
--- a/functional/src/test/java/coriandersill/functional/Await.java
+++ b/functional/src/test/java/coriandersill/functional/Await.java
@@ -6,7 +6,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /** Waits for a condition that becomes true by itself; fails after a generous time. */
 final class Await {
@@ -36,4 +39,14 @@
             poll.cancel(false);
         }
     }
+
+    /** Asks again until the answer is as wanted. */
+    static <T> T value(Supplier<T> question, Predicate<T> wanted) {
+        AtomicReference<T> last = new AtomicReference<>();
+        until(() -> {
+            last.set(question.get());
+            return wanted.test(last.get());
+        });
+        return last.get();
+    }
 }
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/OnceOnlyTest.java
@@ -0,0 +1,126 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import coriandersill.daemon.embedded.EmbeddedPlan;
+import coriandersill.daemon.embedded.EmbeddedSet;
+import coriandersill.idempotency.IdempotencyKey;
+import io.vertx.core.http.HttpVersion;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS O4, O8, O9 and O10 through whole daemons, by the upstreams' own books. */
+final class OnceOnlyTest {
+    private static final EmbeddedSet SET = EmbeddedSet.create(EmbeddedPlan.small());
+    private static final Random RANDOM = new Random(7);
+    private static final String BOOKINGS = "/services/ledger/bookings";
+    private static CallerClient caller;
+
+    @BeforeAll
+    static void start() {
+        SET.start().join();
+        SET.ready().join();
+        caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+    }
+
+    @AfterEach
+    void logAnswers() {
+        SET.log().faults().down(false);
+    }
+
+    @AfterAll
+    static void stop() {
+        caller.close();
+        SET.stop(Duration.ofSeconds(1)).join();
+    }
+
+    private static String key(Instant drawn) {
+        return IdempotencyKey.draw(drawn, RANDOM).toString();
+    }
+
+    private static CompletableFuture<CallerClient.Answer> book(int entry, String key, String body) {
+        return caller.call(SET.entryPort(entry), "POST", BOOKINGS, Map.of("Idempotency-Key", key), body);
+    }
+
+    private static int executions(String key) {
+        return SET.plains().stream()
+                .mapToInt(plain -> plain.books().executions().getOrDefault(key, 0))
+                .sum();
+    }
+
+    @Test
+    void aBookingRunsOnceAndItsRepeatThroughAnotherEntryHearsTheFirstAnswer() {
+        String key = key(Instant.now());
+        CallerClient.Answer first = book(0, key, "{\"crier\":1}").join();
+        assertThat(first.body(), first.status(), is(200));
+        CallerClient.Answer repeat =
+                Await.value(() -> book(1, key, "{\"crier\":1}").join(), found -> found.status() == 200);
+        assertThat(repeat.body(), is(first.body()));
+        assertThat(repeat.headers().get("idempotent-replayed"), is("true"));
+        assertThat(executions(key), is(1));
+    }
+
+    @Test
+    void bookingsThatRaceThroughBothEntriesRunOnce() {
+        for (int round = 0; round < 10; round++) {
+            String key = key(Instant.now());
+            List<CompletableFuture<CallerClient.Answer>> race = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                race.add(book(i % 2, key, "{}"));
+            }
+            for (CompletableFuture<CallerClient.Answer> call : race) {
+                assertThat(call.join().body(), call.join().status(), anyOf(is(200), is(409)));
+            }
+            assertThat("round " + round, executions(key), is(1));
+        }
+    }
+
+    @Test
+    void aKeyThatComesBackWithAnotherBodyIsRefused() {
+        String key = key(Instant.now());
+        assertThat(book(0, key, "{\"crier\":1}").join().status(), is(200));
+        CallerClient.Answer other = book(0, key, "{\"crier\":2}").join();
+        assertThat(other.status(), is(422));
+        assertThat(other.errorKind(), is("idempotency_key_reused"));
+        assertThat(executions(key), is(1));
+    }
+
+    @Test
+    void aKeyOlderThanTheWindowIsRefusedRatherThanRun() {
+        String key = key(Instant.now().minus(Duration.ofDays(3)));
+        CallerClient.Answer answer = book(0, key, "{}").join();
+        assertThat(answer.errorKind(), is("idempotency_key_expired"));
+        assertThat(executions(key), is(0));
+    }
+
+    @Test
+    void whileTheLogIsDownBookingsHearNotRunAndLookupsAndGenerationsGoOn() {
+        SET.log().faults().down(true);
+        String key = key(Instant.now());
+        CallerClient.Answer booking = book(0, key, "{}").join();
+        assertThat(booking.status(), is(503));
+        assertThat(booking.errorKind(), is("log_unavailable"));
+        assertThat(booking.ran(), is("no"));
+        assertThat(executions(key), is(0));
+        CallerClient.Answer lookup = caller.call(SET.entryPort(0), "GET", "/services/ledger/orders/1", Map.of(), "")
+                .join();
+        assertThat(lookup.status(), is(200));
+        assertThat(caller.stream(SET.entryPort(1), "scribe", 5).join().texts().size(), is(5));
+        SET.log().faults().down(false);
+        CallerClient.Answer later = Await.value(() -> book(0, key, "{}").join(), found -> found.status() == 200);
+        assertThat(later.body(), later.status(), not(is(503)));
+        assertThat(executions(key), is(1));
+    }
+}
--- a/sidecar/src/main/java/coriandersill/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/Sidecar.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import coriandersill.admission.AdmissionController;
+import coriandersill.admission.AdmissionDecision;
 import coriandersill.admission.UpstreamLoad;
 import coriandersill.core.ManagedService;
 import coriandersill.core.MonotonicClock;
@@ -20,6 +21,7 @@
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -103,6 +105,11 @@
         }
     }
 
+    /** Carries out decisions that followed from outside, for example when limits were replaced. */
+    public void carryOut(List<AdmissionDecision> decisions) {
+        gate.carryOut(decisions);
+    }
+
     /** Whether no call is open. */
     public boolean idle() {
         return calls.size() == 0;
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/Gate.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/Gate.java
@@ -126,7 +126,8 @@
         return call.dispatch().remaining().minusNanos(spent);
     }
 
-    private void carryOut(List<AdmissionDecision> decisions) {
+    /** Carries out decisions in order. */
+    public void carryOut(List<AdmissionDecision> decisions) {
         decisions.forEach(this::carryOut);
     }
 
--- a/standins/src/main/java/coriandersill/standins/engine/EngineBooks.java
+++ b/standins/src/main/java/coriandersill/standins/engine/EngineBooks.java
@@ -1,12 +1,17 @@
 package coriandersill.standins.engine;
 
+import io.vertx.core.json.JsonObject;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** What a stand-in ran, kept for checks from outside; safe for use by many threads. */
 public final class EngineBooks {
+    /** Where a stand-in shows its books over HTTP. */
+    public static final String PATH = "/books";
+
     private final AtomicLong started = new AtomicLong();
     private final AtomicLong finished = new AtomicLong();
     private final AtomicLong cancelled = new AtomicLong();
@@ -65,8 +70,24 @@
 
     /** How often each request was begun, by its idempotency key or else its request id. */
     public Map<String, Integer> executions() {
-        Map<String, Integer> counts = new java.util.TreeMap<>();
+        Map<String, Integer> counts = new TreeMap<>();
         executions.forEach((key, count) -> counts.put(key, count.get()));
         return counts;
     }
+
+    /**
+     * Returns the books as JSON: {@code started}, {@code finished}, {@code tokens}, {@code mostRunning},
+     * {@code executions}.
+     */
+    public JsonObject toJson() {
+        JsonObject counts = new JsonObject();
+        executions().forEach(counts::put);
+        return new JsonObject()
+                .put("started", started())
+                .put("finished", finished())
+                .put("cancelled", cancelled())
+                .put("tokens", tokens())
+                .put("mostRunning", mostRunning())
+                .put("executions", counts);
+    }
 }
--- a/standins/src/main/java/coriandersill/standins/engine/PlainStandIn.java
+++ b/standins/src/main/java/coriandersill/standins/engine/PlainStandIn.java
@@ -55,6 +55,10 @@
     }
 
     private void handle(HttpServerRequest request) {
+        if (request.path().equals(EngineBooks.PATH)) {
+            request.response().end(books.toJson().toBuffer());
+            return;
+        }
         request.body().onSuccess(body -> {
             String key = request.getHeader("Idempotency-Key");
             books.begin(key == null ? "-" : key);
