Add the operators' tool and tests of separate processes under kills, pauses and planned stops

Cause: operators had no way in, and nothing judged the promises from outside. Ruled out: an operators' protocol of its own; the tool uses the platform's log and reads each instance's pings. Change: config, zone, rollout and inspection commands with stated exit codes; nine processes on loopback under kill -9, SIGSTOP, SIGTERM and a restart of everything. The status page is served only once the role is up: before, it failed on a daemon that was starting.

--- /dev/null
+++ b/cli/src/main/java/coriandersill/cli/internal/InspectCommands.java
@@ -0,0 +1,116 @@
+package coriandersill.cli.internal;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import coriandersill.cli.ExitCode;
+import coriandersill.configuration.WorkspaceDocument;
+import coriandersill.events.EventCode;
+import coriandersill.platform.ListedInstance;
+import coriandersill.wire.Message;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/** Commands that only look. */
+public final class InspectCommands {
+    private static final Duration PROBE = Duration.ofSeconds(3);
+
+    private InspectCommands() {}
+
+    /** Shows the sidecars and their upstreams' load. */
+    @Command(name = "upstreams", description = "Show the sidecars and the load of their upstreams")
+    public static final class Upstreams extends ToolCommand {
+        @Override
+        ExitCode run(Session session, Output output) {
+            List<ListedInstance> sidecars = session.instances().stream()
+                    .filter(instance -> instance.service().isPresent())
+                    .sorted(Comparator.comparing(ListedInstance::id))
+                    .toList();
+            try (InstanceProbe probe = new InstanceProbe(sidecars)) {
+                probe.await(pings -> pings.size() >= sidecars.size(), PROBE);
+                Map<coriandersill.core.InstanceId, Message.Ping> pings = probe.pings();
+                output.rows(sidecars.stream()
+                        .map(sidecar -> row(sidecar, pings.get(sidecar.id())))
+                        .toList());
+            }
+            return ExitCode.OK;
+        }
+
+        private static ObjectNode row(ListedInstance sidecar, Message.Ping ping) {
+            ObjectNode row = Output.row()
+                    .put("instance", sidecar.id().value())
+                    .put("zone", sidecar.zone().value())
+                    .put("service", sidecar.service().map(Object::toString).orElse(""))
+                    .put("version", sidecar.version().map(Object::toString).orElse(""));
+            if (ping == null || ping.load().isEmpty()) {
+                return row.put("state", "unreachable");
+            }
+            Message.Load load = ping.load().get();
+            return row.put("state", ping.draining() ? "draining" : load.cold() ? "cold" : "warm")
+                    .put("running", load.running())
+                    .put("waiting", load.waiting())
+                    .put("limit", load.limit())
+                    .put("reserved_tokens", load.reservedTokens())
+                    .put("configuration", ping.configurationOffset());
+        }
+    }
+
+    /** Shows the workspaces with their shares and caps. */
+    @Command(name = "workspaces", description = "Show the workspaces with their shares and caps")
+    public static final class Workspaces extends ToolCommand {
+        @Override
+        ExitCode run(Session session, Output output) {
+            output.rows(session.state().configuration().documents().values().stream()
+                    .filter(WorkspaceDocument.class::isInstance)
+                    .map(WorkspaceDocument.class::cast)
+                    .sorted(Comparator.comparing(WorkspaceDocument::name))
+                    .map(workspace -> Output.row()
+                            .put("workspace", workspace.name().value())
+                            .put("weight", workspace.weight())
+                            .put("max_concurrency", workspace.maxConcurrency())
+                            .put("tokens_per_second", workspace.tokensPerSecond())
+                            .put("services", workspace.services().toString()))
+                    .toList());
+            return ExitCode.OK;
+        }
+    }
+
+    /** Shows what the system did of itself. */
+    @Command(name = "audit", description = "Show the audit records of what the system did of itself")
+    public static final class Audit extends ToolCommand {
+        @Override
+        ExitCode run(Session session, Output output) {
+            output.rows(session.stream("audit").stream()
+                    .map(record -> Output.row()
+                            .put("offset", record.offset())
+                            .put("time", record.time().toString())
+                            .put("record", new String(record.data(), StandardCharsets.UTF_8)))
+                    .toList());
+            return ExitCode.OK;
+        }
+    }
+
+    /** Explains events by their number. */
+    @Command(name = "events", description = "Explain an event by its number, or list all")
+    public static final class Events extends ToolCommand {
+        @Arguments(title = "NUMBER", description = "The event's number")
+        private int number = -1;
+
+        @Override
+        ExitCode run(Session session, Output output) {
+            output.rows(Arrays.stream(EventCode.values())
+                    .filter(code -> number < 0 || code.number() == number)
+                    .map(code -> Output.row()
+                            .put("event", code.number())
+                            .put("name", code.name())
+                            .put("level", code.level().name())
+                            .put("text", code.text()))
+                    .toList());
+            return ExitCode.OK;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/coriandersill/cli/internal/InstanceProbe.java
@@ -0,0 +1,95 @@
+package coriandersill.cli.internal;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.InstanceId;
+import coriandersill.platform.ListedInstance;
+import coriandersill.wire.Message;
+import coriandersill.wire.PeerIdentity;
+import coriandersill.wire.WireConnection;
+import coriandersill.wire.WireLink;
+import coriandersill.wire.WireListener;
+import coriandersill.wire.WireLoops;
+import coriandersill.wire.WireSettings;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/** Connects to instances and collects what their pings say. */
+final class InstanceProbe implements AutoCloseable {
+    private final WireLoops loops = WireLoops.of(1);
+    private final Map<InstanceId, Message.Ping> pings = new ConcurrentHashMap<>();
+    private final List<WireLink> links;
+    private volatile Predicate<Map<InstanceId, Message.Ping>> goal = found -> false;
+    private final CompletableFuture<Void> reached = new CompletableFuture<>();
+
+    InstanceProbe(List<ListedInstance> instances) {
+        PeerIdentity self = new PeerIdentity(
+                InstanceId.of("tool-" + ProcessHandle.current().pid()),
+                System.currentTimeMillis(),
+                "tool",
+                AvailabilityZone.of("none"),
+                "",
+                "");
+        WireSettings settings = WireSettings.of(self);
+        SecureRandom random = new SecureRandom();
+        this.links = instances.stream()
+                .map(instance ->
+                        WireLink.create(settings, loops, instance.host(), instance.port(), new Listener(), random))
+                .toList();
+        links.forEach(WireLink::start);
+    }
+
+    /** Waits until the pings satisfy {@code wanted}; returns false when they do not in time. */
+    boolean await(Predicate<Map<InstanceId, Message.Ping>> wanted, Duration patience) {
+        goal = wanted;
+        check();
+        return reached.copy()
+                .completeOnTimeout(null, patience.toMillis(), TimeUnit.MILLISECONDS)
+                .thenApply(done -> reached.isDone())
+                .join();
+    }
+
+    Map<InstanceId, Message.Ping> pings() {
+        return Map.copyOf(pings);
+    }
+
+    private void check() {
+        if (goal.test(pings)) {
+            reached.complete(null);
+        }
+    }
+
+    @Override
+    public void close() {
+        links.forEach(link -> link.stop(Duration.ZERO));
+        loops.stop(Duration.ofMillis(100)).join();
+    }
+
+    /** Keeps the newest ping of each instance. */
+    private final class Listener implements WireListener {
+        @Override
+        public void connected(WireConnection connection) {
+            // The first ping follows by itself.
+        }
+
+        @Override
+        public void received(WireConnection connection, Message message) {
+            if (message instanceof Message.Ping ping) {
+                pings.put(connection.peer().instance(), ping);
+                connection.send(new Message.Ping(
+                        ping.sequence(), -1, java.util.Optional.empty(), java.util.Optional.empty(), false));
+                check();
+            }
+        }
+
+        @Override
+        public void disconnected(WireConnection connection) {
+            // The last ping stays.
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/coriandersill/cli/internal/RolloutCommands.java
@@ -0,0 +1,171 @@
+package coriandersill.cli.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import coriandersill.cli.ExitCode;
+import coriandersill.configuration.AcceptedState;
+import coriandersill.configuration.DocumentEdit;
+import coriandersill.configuration.DocumentKind;
+import coriandersill.configuration.DocumentName;
+import coriandersill.configuration.RolloutDocument;
+import coriandersill.configuration.ServiceDocument;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.platform.LogRecord;
+import coriandersill.rollout.RolloutPhase;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** The commands of the group {@code rollout}. */
+public final class RolloutCommands {
+    private static final String STREAM = "rollouts";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private RolloutCommands() {}
+
+    /** Returns the recorded transitions of a service, oldest first, as the log keeps them. */
+    private static List<ObjectNode> transitions(Session session, String service) {
+        List<ObjectNode> found = new ArrayList<>();
+        for (LogRecord record : session.stream(STREAM)) {
+            try {
+                JsonNode node = MAPPER.readTree(record.data());
+                if (node instanceof ObjectNode object && object.path("service").asText().equals(service)) {
+                    found.add(Output.row()
+                            .put("time", record.time().toString())
+                            .put("declared_at", object.path("declaredAt").asLong())
+                            .put("phase", object.path("phase").asText())
+                            .put("share", object.path("share").asDouble())
+                            .put("source", object.path("source").asText())
+                            .put("evidence", object.path("evidence").asText()));
+                }
+            } catch (IOException malformed) {
+                throw new IllegalStateException("record " + record.offset() + " of " + STREAM + " is not JSON", malformed);
+            }
+        }
+        return found;
+    }
+
+    /** Returns the first verdict on the newest rollout of a service. */
+    private static Optional<ObjectNode> verdict(List<ObjectNode> transitions, long declaredAt) {
+        return transitions.stream()
+                .filter(row -> row.path("declared_at").asLong() == declaredAt)
+                .filter(row -> RolloutPhase.valueOf(row.path("phase").asText()).terminal())
+                .findFirst();
+    }
+
+    /** Declares a rollout. */
+    @Command(name = "start", description = "Move a service's traffic to another version by a deadline")
+    public static final class Start extends ChangeCommand {
+        @Arguments(title = "SERVICE", description = "The service")
+        private String service = "";
+
+        @Option(name = "--to", title = "VERSION", description = "The version that shall serve")
+        private String to = "";
+
+        @Option(name = "--within", title = "DURATION", description = "Until the deadline, for example PT2H")
+        private String within = "PT1H";
+
+        @Option(name = "--first-share", title = "SHARE", description = "The canary's share, above 0 and at most 1")
+        private double firstShare = 0.01;
+
+        @Option(name = "--probation", title = "DURATION", description = "How long it is watched at the end")
+        private String probation = "PT10M";
+
+        @Option(name = "--error-ratio", title = "RATIO", description = "Ratio of error rates that is bad")
+        private double errorRatio = 2;
+
+        @Option(name = "--latency-ratio", title = "RATIO", description = "Ratio of latencies that is bad")
+        private double latencyRatio = 1.5;
+
+        @Override
+        ExitCode run(Session session, Output output) {
+            AcceptedState state = session.state();
+            ServiceDocument document = state.configuration()
+                    .service(ServiceName.of(service))
+                    .orElseThrow(() -> new IllegalArgumentException(
+                            "service: expected a declared one, found \"" + service + "\""));
+            RolloutDocument rollout = new RolloutDocument(
+                    document.name(),
+                    document.current(),
+                    VersionName.of(to),
+                    Instant.now().plus(Duration.parse(within)),
+                    firstShare,
+                    Duration.parse(probation),
+                    new RolloutDocument.BadnessCriteria(errorRatio, latencyRatio, latencyRatio));
+            DocumentEdit edit = DocumentEdit.put(rollout, state.version(rollout.documentName()));
+            return Changes.apply(
+                    session, output, order("rollout of " + service + " to " + to), state, List.of(edit));
+        }
+    }
+
+    /** Shows the recorded transitions of a service's rollouts. */
+    @Command(name = "status", description = "Show the recorded transitions of a service's rollouts")
+    public static final class Status extends ToolCommand {
+        @Arguments(title = "SERVICE", description = "The service")
+        private String service = "";
+
+        @Override
+        ExitCode run(Session session, Output output) {
+            output.rows(transitions(session, service));
+            return ExitCode.OK;
+        }
+    }
+
+    /** Waits for the verdict on the newest rollout of a service. */
+    @Command(name = "wait", description = "Wait for the verdict: exit 0 when done, 6 when rolled back, 7 in time")
+    public static final class Wait extends ToolCommand {
+        private static final long POLL_MILLIS = 500;
+
+        @Arguments(title = "SERVICE", description = "The service")
+        private String service = "";
+
+        @Override
+        ExitCode run(Session session, Output output) {
+            DocumentName name = DocumentName.of(DocumentKind.ROLLOUT, service);
+            long declaredAt = session.state().version(name);
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(timeoutSeconds());
+            while (System.nanoTime() - deadline < 0) {
+                Optional<ObjectNode> verdict = verdict(transitions(session, service), declaredAt);
+                if (verdict.isPresent()) {
+                    String phase = verdict.get().path("phase").asText();
+                    output.result(verdict.get(), phase + ": " + verdict.get().path("evidence").asText());
+                    return phase.equals("DONE") ? ExitCode.OK : ExitCode.ROLLED_BACK;
+                }
+                new CompletableFuture<Void>()
+                        .completeOnTimeout(null, POLL_MILLIS, TimeUnit.MILLISECONDS)
+                        .join();
+            }
+            output.failure("no verdict on " + service + " within " + timeoutSeconds() + " s");
+            return ExitCode.TIMED_OUT;
+        }
+    }
+
+    /** Withdraws the declaration, which rolls the rollout back unless its verdict was said. */
+    @Command(name = "rollback", description = "Withdraw a rollout; without effect after its verdict")
+    public static final class Rollback extends ChangeCommand {
+        @Arguments(title = "SERVICE", description = "The service")
+        private String service = "";
+
+        @Override
+        ExitCode run(Session session, Output output) {
+            AcceptedState state = session.state();
+            DocumentName name = DocumentName.of(DocumentKind.ROLLOUT, service);
+            if (!state.documents().containsKey(name)) {
+                output.failure("rollout: expected a declared one, found none of service \"" + service + "\"");
+                return ExitCode.INVALID;
+            }
+            List<DocumentEdit> edits = List.of(DocumentEdit.delete(name, state.version(name)));
+            return Changes.apply(session, output, order("rollback of " + service), state, edits);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/coriandersill/cli/internal/Session.java
@@ -0,0 +1,108 @@
+package coriandersill.cli.internal;
+
+import coriandersill.configuration.AcceptedState;
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.DocumentEdit;
+import coriandersill.configuration.log.ApplyResult;
+import coriandersill.configuration.log.ConfigurationClient;
+import coriandersill.platform.ListedInstance;
+import coriandersill.platform.LogPage;
+import coriandersill.platform.LogRecord;
+import coriandersill.platform.PlatformLog;
+import coriandersill.platform.Scheduler;
+import coriandersill.platform.http.HttpPlatform;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** One command's connection to the platform; used by one thread. */
+final class Session implements AutoCloseable {
+    private static final int PAGE = 500;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "timers");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final HttpPlatform platform;
+    private final ConfigurationClient client;
+    private final int timeoutSeconds;
+
+    private Session(String host, int port, int timeoutSeconds) {
+        this.platform = HttpPlatform.builder(vertx, host, port).wait(Duration.ZERO).build();
+        this.client = ConfigurationClient.of(
+                platform.log(), Scheduler.of(timers), Duration.ofSeconds(timeoutSeconds));
+        this.timeoutSeconds = timeoutSeconds;
+    }
+
+    /** Opens a session with the platform at {@code HOST:PORT}. */
+    static Session open(String address, int timeoutSeconds) {
+        int colon = address.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("--platform: expected HOST:PORT, found \"" + address + "\"");
+        }
+        return new Session(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)), timeoutSeconds);
+    }
+
+    int timeoutSeconds() {
+        return timeoutSeconds;
+    }
+
+    AcceptedState state() {
+        return client.state().join();
+    }
+
+    ConfigurationClient client() {
+        return client;
+    }
+
+    /** Applies edits as one change set. */
+    ApplyResult apply(String id, String author, String reason, AcceptedState base, List<DocumentEdit> edits) {
+        ChangeSet change = ChangeSet.of(id, author, reason, Instant.now(), base.position(), edits);
+        return client.apply(change).join();
+    }
+
+    static String newChangeId() {
+        return UUID.randomUUID().toString();
+    }
+
+    static String defaultAuthor() {
+        return System.getProperty("user.name", "operator");
+    }
+
+    List<ListedInstance> instances() {
+        return platform.instances().read().orTimeout(timeoutSeconds, TimeUnit.SECONDS).join();
+    }
+
+    /** Reads a whole stream as it is kept now. */
+    List<LogRecord> stream(String name) {
+        PlatformLog log = platform.log();
+        List<LogRecord> all = new ArrayList<>();
+        long next = 0;
+        while (true) {
+            LogPage page = log.read(name, next, PAGE).join();
+            all.addAll(page.records());
+            next = page.records().isEmpty()
+                    ? page.end()
+                    : page.records().get(page.records().size() - 1).offset() + 1;
+            if (next >= page.end()) {
+                return all;
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        platform.stop(Duration.ZERO).join();
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+        timers.shutdownNow();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/coriandersill/cli/internal/ToolCommand.java
@@ -0,0 +1,60 @@
+package coriandersill.cli.internal;
+
+import com.github.rvesse.airline.annotations.Option;
+import coriandersill.cli.ExitCode;
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import java.io.PrintStream;
+import java.util.concurrent.CompletionException;
+
+/** What all commands share: where the platform is, the form of the output, and the exit code of a failure. */
+public abstract class ToolCommand implements Runnable {
+    private static final String PLATFORM_VARIABLE = "CORIANDERSILL_PLATFORM";
+    private static final String DEFAULT_PLATFORM = "127.0.0.1:7070";
+
+    @Option(name = "--platform", title = "HOST:PORT", description = "Where the platform's services are")
+    private String platform;
+
+    @Option(name = "--json", description = "Print JSON")
+    private boolean json;
+
+    @Option(name = "--timeout", title = "SECONDS", description = "How long to wait for an answer; 30 unless set")
+    private int timeoutSeconds = 30;
+
+    /** Does nothing; {@link #execute} is the way in. */
+    @Override
+    public final void run() {
+        throw new IllegalStateException("commands are run by execute");
+    }
+
+    /** Runs the command. */
+    public final ExitCode execute(PrintStream out, PrintStream err) {
+        Output output = new Output(out, err, json);
+        try (Session session = Session.open(address(), timeoutSeconds)) {
+            return run(session, output);
+        } catch (CompletionException | CallFailure e) {
+            CallFailure failure = CallFailure.from(e);
+            output.failure(failure.kind().name() + ": " + failure.getMessage());
+            return failure.kind() == ErrorKind.LOG_UNAVAILABLE || failure.kind() == ErrorKind.UNAVAILABLE
+                    ? ExitCode.UNAVAILABLE
+                    : ExitCode.FAILED;
+        } catch (IllegalArgumentException e) {
+            output.failure(e.getMessage());
+            return ExitCode.INVALID;
+        }
+    }
+
+    abstract ExitCode run(Session session, Output output);
+
+    int timeoutSeconds() {
+        return timeoutSeconds;
+    }
+
+    private String address() {
+        if (platform != null) {
+            return platform;
+        }
+        String variable = System.getenv(PLATFORM_VARIABLE);
+        return variable == null ? DEFAULT_PLATFORM : variable;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/coriandersill/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool for operators. */
+package coriandersill.cli;
--- a/daemon/src/main/java/coriandersill/daemon/internal/RunningDaemon.java
+++ b/daemon/src/main/java/coriandersill/daemon/internal/RunningDaemon.java
@@ -62,8 +62,8 @@
     @Override
     public CompletableFuture<Void> start() {
         return host.start()
-                .thenCompose(done -> operations.start())
                 .thenCompose(done -> role.start())
+                .thenCompose(done -> operations.start())
                 .thenRun(() ->
                         host.events().record(EventCode.DAEMON_READY, Map.of("operations_port", operations.port())));
     }
--- a/functional/src/test/java/coriandersill/functional/Await.java
+++ b/functional/src/test/java/coriandersill/functional/Await.java
@@ -26,8 +26,12 @@
         CompletableFuture<Void> reached = new CompletableFuture<>();
         ScheduledFuture<?> poll = TIMER.scheduleAtFixedRate(
                 () -> {
-                    if (condition.getAsBoolean()) {
-                        reached.complete(null);
+                    try {
+                        if (condition.getAsBoolean()) {
+                            reached.complete(null);
+                        }
+                    } catch (RuntimeException | AssertionError e) {
+                        reached.completeExceptionally(e);
                     }
                 },
                 0,
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/Processes.java
@@ -0,0 +1,106 @@
+package coriandersill.functional;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Starts and ends processes of the system on loopback; ends only those that it started. */
+final class Processes implements AutoCloseable {
+    private final Map<String, Process> running = new LinkedHashMap<>();
+    private final Path directory;
+
+    Processes() {
+        try {
+            directory = Files.createTempDirectory("coriandersill");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void daemon(String name, String settings) {
+        try {
+            Path file = Files.writeString(directory.resolve(name + ".json"), settings);
+            start(name, "coriandersill.daemon.Main", "--settings", file.toString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void start(String name, String main, String... arguments) {
+        String classPath = Optional.ofNullable(System.getProperty("surefire.test.class.path"))
+                .orElseGet(() -> System.getProperty("java.class.path"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:+UseSerialGC",
+                "-ea",
+                "-cp",
+                classPath,
+                main));
+        command.addAll(List.of(arguments));
+        try {
+            Process process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(directory.toFile(), name + ".log")))
+                    .start();
+            running.put(name, process);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Sends a signal by its name. */
+    void signal(String name, String signal) {
+        try {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(running.get(name).pid()))
+                    .start()
+                    .waitFor(10, TimeUnit.SECONDS);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    void kill(String name) {
+        running.get(name).destroyForcibly().onExit().join();
+    }
+
+    /** Waits for a process to end by itself and returns its exit status. */
+    int exit(String name) {
+        return running.get(name).onExit().orTimeout(40, TimeUnit.SECONDS).join().exitValue();
+    }
+
+    String log(String name) {
+        try {
+            return Files.readString(directory.resolve(name + ".log"));
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    @Override
+    public void close() {
+        running.values().forEach(Process::destroyForcibly);
+        running.values().forEach(process -> process.onExit().join());
+    }
+}
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
@@ -0,0 +1,321 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import coriandersill.cli.Tool;
+import coriandersill.configuration.ApiKeyHash;
+import coriandersill.idempotency.IdempotencyKey;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.MethodOrderer;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestMethodOrder;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Separate processes on loopback under kills, pauses, planned stops and a restart of everything; judged from outside by
+ * the upstreams' own books. The tests share one set and run in a stated order.
+ */
+@TestMethodOrder(MethodOrderer.OrderAnnotation.class)
+final class SeparateProcessesTest {
+    private static final String KEY = "north.secret";
+    private static final Random RANDOM = new Random(11);
+    private static final Processes PROCESSES = new Processes();
+    private static final int PLATFORM = Processes.freePort();
+    private static final int[] HTTP = {Processes.freePort(), Processes.freePort()};
+    private static final int[] OPERATIONS = new int[5];
+    private static final int[] ENGINES = {Processes.freePort(), Processes.freePort()};
+    private static final int PLAIN = Processes.freePort();
+    private static CallerClient caller;
+
+    @TempDir
+    static Path agreement;
+
+    @BeforeAll
+    static void startAll() throws IOException {
+        PROCESSES.start("platform", "coriandersill.standins.StandInMain", "platform", "127.0.0.1", "" + PLATFORM);
+        for (int i = 0; i < ENGINES.length; i++) {
+            PROCESSES.start(
+                    "engine-" + i, "coriandersill.standins.StandInMain", "engine", "127.0.0.1", "" + ENGINES[i], "5");
+        }
+        PROCESSES.start("plain", "coriandersill.standins.StandInMain", "plain", "127.0.0.1", "" + PLAIN);
+        for (int i = 0; i < OPERATIONS.length; i++) {
+            OPERATIONS[i] = Processes.freePort();
+        }
+        writeAgreement();
+        caller = new CallerClient(KEY, HttpVersion.HTTP_1_1);
+        startDaemons();
+        Await.until(() -> tool("config", "apply", agreement.toString(), "--reason", "first") == 0);
+        awaitServing();
+    }
+
+    @AfterAll
+    static void endAll() {
+        caller.close();
+        PROCESSES.close();
+    }
+
+    private static void startDaemons() {
+        sidecar(0, "scribe", ENGINES[0]);
+        sidecar(1, "scribe", ENGINES[1]);
+        sidecar(2, "ledger", PLAIN);
+        entry(0);
+        entry(1);
+    }
+
+    private static void sidecar(int number, String service, int upstream) {
+        PROCESSES.daemon("sidecar-" + number, settings("sidecar", "sidecar-" + number, OPERATIONS[number])
+                .put(
+                        "sidecar",
+                        new JsonObject()
+                                .put("service", service)
+                                .put("version", "v1")
+                                .put("upstream", address(upstream)))
+                .encode());
+    }
+
+    private static void entry(int number) {
+        PROCESSES.daemon("entry-" + number, settings("entry", "entry-" + number, OPERATIONS[3 + number])
+                .put("entry", new JsonObject().put("http", address(HTTP[number])))
+                .encode());
+    }
+
+    private static JsonObject settings(String role, String instance, int operations) {
+        return new JsonObject()
+                .put("role", role)
+                .put("instance", instance)
+                .put("zone", "shewa-a")
+                .put("platform", address(PLATFORM))
+                .put("wire", address(0))
+                .put("operations", address(operations));
+    }
+
+    private static JsonObject address(int port) {
+        return new JsonObject().put("host", "127.0.0.1").put("port", port);
+    }
+
+    private static void writeAgreement() throws IOException {
+        String capacity = "{\"v1\":{\"coldConcurrency\":8,\"maxConcurrency\":64,\"memoryTokens\":%d}}";
+        write("services/scribe", "{\"kind\":\"generation\",\"current\":\"v1\",\"versions\":"
+                + String.format(capacity, 1_000_000) + ",\"routes\":[]}");
+        write("services/ledger", "{\"kind\":\"plain\",\"current\":\"v1\",\"versions\":" + String.format(capacity, 0)
+                + ",\"routes\":[{\"name\":\"lookup\",\"method\":\"GET\",\"pathPrefix\":\"/\",\"repeatable\":true},"
+                + "{\"name\":\"change\",\"method\":\"*\",\"pathPrefix\":\"/\",\"repeatable\":false}]}");
+        ApiKeyHash hash = ApiKeyHash.of(KEY, "salt");
+        write("workspaces/north", "{\"keys\":[{\"id\":\"" + hash.id() + "\",\"salt\":\"salt\",\"sha256\":\""
+                + hash.sha256() + "\"}],\"services\":[\"scribe\",\"ledger\"],\"weight\":1,\"maxConcurrency\":1000,"
+                + "\"tokensPerSecond\":1000000}");
+        write("zones/shewa-a", "{\"region\":\"shewa\",\"inService\":true}");
+    }
+
+    private static void write(String name, String json) throws IOException {
+        Path file = agreement.resolve(name + ".json");
+        Files.createDirectories(file.getParent());
+        Files.writeString(file, json);
+    }
+
+    private static int tool(String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.addAll(List.of("--platform", "127.0.0.1:" + PLATFORM));
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream print = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        int status = Tool.run(print, print, all.toArray(String[]::new));
+        if (status != 0) {
+            System.err.println(bytes.toString(StandardCharsets.UTF_8));
+        }
+        return status;
+    }
+
+    private static JsonObject status(int process) {
+        try {
+            return caller.call(OPERATIONS[process], "GET", "/status", Map.of(), "").join().json();
+        } catch (java.util.concurrent.CompletionException unreachable) {
+            return new JsonObject();
+        }
+    }
+
+    private static void awaitServing() {
+        for (int sidecar = 0; sidecar < 3; sidecar++) {
+            int process = sidecar;
+            Await.until(() -> status(process).getBoolean("configuration_ready", false));
+        }
+        for (int entry = 0; entry < 2; entry++) {
+            int process = 3 + entry;
+            Await.until(() -> status(process).getInteger("sidecars_in_service", 0) == 3
+                    && status(process).getBoolean("claims_ready", false));
+        }
+    }
+
+    private static List<String> words(int count) {
+        return IntStream.range(0, count).mapToObj(i -> " w" + i).toList();
+    }
+
+    private static JsonObject books(int port) {
+        return caller.call(port, "GET", "/books", Map.of(), "").join().json();
+    }
+
+    private static int executions(String key) {
+        return books(PLAIN).getJsonObject("executions").getInteger(key, 0);
+    }
+
+    private static CompletableFuture<CallerClient.Answer> book(int entry, String key) {
+        return caller.call(
+                HTTP[entry], "POST", "/services/ledger/bookings", Map.of("Idempotency-Key", key), "{\"crier\":1}");
+    }
+
+    private static String newKey() {
+        return IdempotencyKey.draw(Instant.now(), RANDOM).toString();
+    }
+
+    /** A stream holds consecutive words from the first on, whether it ended whole or not. */
+    private static void assertInOrder(CallerClient.Streamed streamed) {
+        assertThat(streamed.texts(), is(words(streamed.texts().size())));
+    }
+
+    @Test
+    @Order(1)
+    void aGenerationAndABookingAreServedAcrossProcesses() {
+        CallerClient.Streamed streamed = caller.stream(HTTP[0], "scribe", 300).join();
+        assertThat(streamed.error(), streamed.texts(), is(words(300)));
+        String key = newKey();
+        assertThat(book(0, key).join().status(), is(200));
+        CallerClient.Answer repeat = Await.value(() -> book(1, key).join(), found -> found.status() == 200);
+        assertThat(repeat.headers().get("idempotent-replayed"), is("true"));
+        assertThat(executions(key), is(1));
+    }
+
+    @Test
+    @Order(2)
+    void aSidecarThatIsKilledInMidStreamEndsItsStreamsClearlyAndSplicesNothing() {
+        List<CompletableFuture<CallerClient.Streamed>> calls = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            calls.add(caller.stream(HTTP[i % 2], "scribe", 1_500));
+        }
+        Await.until(() -> books(ENGINES[0]).getInteger("tokens") > 500);
+        PROCESSES.kill("sidecar-0");
+        int cut = 0;
+        for (CompletableFuture<CallerClient.Streamed> call : calls) {
+            CallerClient.Streamed streamed = call.join();
+            assertInOrder(streamed);
+            if (!streamed.done()) {
+                cut++;
+                assertThat(streamed.error(), containsString("generation_interrupted"));
+                assertThat(streamed.error(), containsString(streamed.texts().size() + " tokens were delivered"));
+            }
+        }
+        assertThat("streams cut by one dead sidecar of two", cut, lessThanOrEqualTo(7));
+        assertThat(caller.stream(HTTP[0], "scribe", 20).join().texts(), is(words(20)));
+        sidecar(0, "scribe", ENGINES[0]);
+        awaitServing();
+    }
+
+    @Test
+    @Order(3)
+    void anEntryThatIsKilledWhileBookingsRunLeavesEachBookingAtMostOnce() {
+        List<String> keys = new ArrayList<>();
+        List<CompletableFuture<CallerClient.Answer>> calls = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            String key = newKey();
+            keys.add(key);
+            calls.add(book(0, key));
+        }
+        PROCESSES.kill("entry-0");
+        calls.forEach(call -> call.handle((answer, error) -> null).join());
+        for (String key : keys) {
+            CallerClient.Answer repeat = book(1, key).join();
+            assertThat(repeat.body(), repeat.status(), anyOf(is(200), is(409), is(502), is(503)));
+            assertThat(key, executions(key), lessThanOrEqualTo(1));
+            if (repeat.status() == 200) {
+                assertThat(key, executions(key), is(1));
+            }
+        }
+        entry(0);
+        awaitServing();
+    }
+
+    @Test
+    @Order(4)
+    void aPausedSidecarGetsNoNewWorkAndServesAgainOnceItWakes() {
+        PROCESSES.signal("sidecar-0", "STOP");
+        Await.until(() -> status(3).getInteger("sidecars_in_service", 3) == 2);
+        for (int i = 0; i < 10; i++) {
+            assertThat(caller.stream(HTTP[0], "scribe", 10).join().texts(), is(words(10)));
+        }
+        PROCESSES.signal("sidecar-0", "CONT");
+        awaitServing();
+    }
+
+    @Test
+    @Order(5)
+    void aPlannedStopOfAnEntryCutsNoStream() {
+        List<CompletableFuture<CallerClient.Streamed>> calls = new ArrayList<>();
+        long before = books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started");
+        for (int i = 0; i < 6; i++) {
+            calls.add(caller.stream(HTTP[0], "scribe", 400));
+        }
+        Await.until(
+                () -> books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started") >= before + 6);
+        PROCESSES.signal("entry-0", "TERM");
+        for (CompletableFuture<CallerClient.Streamed> call : calls) {
+            CallerClient.Streamed streamed = call.join();
+            assertThat(streamed.error(), streamed.texts(), is(words(400)));
+            assertThat(streamed.done(), is(true));
+        }
+        assertThat(PROCESSES.log("entry-0"), PROCESSES.exit("entry-0"), is(0));
+        entry(0);
+        awaitServing();
+    }
+
+    @Test
+    @Order(6)
+    void aPlannedStopOfASidecarCutsNoStream() {
+        List<CompletableFuture<CallerClient.Streamed>> calls = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            calls.add(caller.stream(HTTP[i % 2], "scribe", 400));
+        }
+        PROCESSES.signal("sidecar-1", "TERM");
+        for (CompletableFuture<CallerClient.Streamed> call : calls) {
+            CallerClient.Streamed streamed = call.join();
+            assertThat(streamed.error(), streamed.texts(), is(words(400)));
+        }
+        assertThat(PROCESSES.exit("sidecar-1"), is(0));
+        sidecar(1, "scribe", ENGINES[1]);
+        awaitServing();
+    }
+
+    @Test
+    @Order(7)
+    void afterEverythingRestartsEmptyTheDocumentsAreInForceAndAnOldKeyStillRunsOnce() {
+        String key = newKey();
+        assertThat(book(0, key).join().status(), is(200));
+        for (String name : List.of("entry-0", "entry-1", "sidecar-0", "sidecar-1", "sidecar-2")) {
+            PROCESSES.kill(name);
+        }
+        startDaemons();
+        awaitServing();
+        assertThat(caller.stream(HTTP[1], "scribe", 30).join().texts(), is(words(30)));
+        CallerClient.Answer repeat = book(1, key).join();
+        assertThat(repeat.body(), repeat.headers().get("idempotent-replayed"), is("true"));
+        assertThat(executions(key), is(1));
+    }
+}
