--- a/configuration-log/src/test/java/coriandersill/configuration/log/ConfigurationServiceTest.java
+++ b/configuration-log/src/test/java/coriandersill/configuration/log/ConfigurationServiceTest.java
@@ -116,6 +116,19 @@
         assertThat("it goes on from the log", behind.service.digest(), is(first.service.digest()));
     }
 
+    @Test
+    void aProcessThatIsBehindForAMomentAsksNoPeer() { // C8, C11: no herd at every change
+        TestProcess second = process("p2").started();
+        change(1);
+        StateDigest newer = new StateDigest(first.service.digest().position() + 1);
+        assertThat(second.service.wantsStateOf(newer), is(false));
+        advance(Duration.ofMillis(900));
+        assertThat(second.service.wantsStateOf(newer), is(false));
+        advance(Duration.ofMillis(700));
+        assertThat(second.service.wantsStateOf(newer), is(true));
+        assertThat("it asks once a while", second.service.wantsStateOf(newer), is(false));
+    }
+
     @Test
     void aGapInTheOffsetsStopsNoProcessAndIsHealedByTheNextSnapshot() { // C9
         TestProcess second = process("p2").started();
--- a/configuration/src/main/java/coriandersill/configuration/AcceptedState.java
+++ b/configuration/src/main/java/coriandersill/configuration/AcceptedState.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
 
 /**
  * The accepted documents with their versions at one position of the stream, immutable; equal in every process.
@@ -50,11 +49,9 @@
 
     /** Returns the documents without their versions. */
     public Configuration configuration() {
-        return new Configuration(
-                position,
-                documents.entrySet().stream()
-                        .collect(Collectors.toUnmodifiableMap(
-                                Map.Entry::getKey, entry -> entry.getValue().document())));
+        Map<DocumentName, Document> plain = new HashMap<>(2 * documents.size());
+        documents.forEach((name, versioned) -> plain.put(name, versioned.document()));
+        return new Configuration(position, plain);
     }
 
     /** Returns the same documents at a later position. */
@@ -62,21 +59,22 @@
         return new AcceptedState(later, documents, history, historyFloor);
     }
 
-    /** Returns the state after a decided change set; its edits are applied when it was accepted. */
-    AcceptedState after(HistoryEntry entry, List<DocumentEdit> edits) {
-        Map<DocumentName, VersionedDocument> changed = documents;
-        if (entry.accepted()) {
-            changed = new HashMap<>(documents);
-            for (DocumentEdit edit : edits) {
-                if (edit.content().isPresent()) {
-                    Document content = edit.content().get();
-                    changed.put(edit.name(), new VersionedDocument(content, entry.position(), entry.author()));
-                } else {
-                    changed.remove(edit.name());
-                }
+    /** Returns the state with the change set's edits applied, without an entry in the history. */
+    AcceptedState edited(long newPosition, ChangeSet change) {
+        Map<DocumentName, VersionedDocument> changed = new HashMap<>(documents);
+        for (DocumentEdit edit : change.edits()) {
+            if (edit.content().isPresent()) {
+                changed.put(edit.name(), new VersionedDocument(edit.content().get(), newPosition, change.author()));
+            } else {
+                changed.remove(edit.name());
             }
         }
-        return withHistory(entry.position(), changed, List.of(entry));
+        return new AcceptedState(newPosition, changed, history, historyFloor);
+    }
+
+    /** Returns the state with one more decided change set in the history. */
+    AcceptedState decided(HistoryEntry entry) {
+        return withHistory(entry.position(), documents, List.of(entry));
     }
 
     /** Returns a state with more entries at the end of the history. */
--- a/configuration/src/main/java/coriandersill/configuration/ChangeJudge.java
+++ b/configuration/src/main/java/coriandersill/configuration/ChangeJudge.java
@@ -42,7 +42,9 @@
                     new Verdict.Duplicate(first.get().position(), first.get().verdict());
             return new Step(state.at(position), verdict, Optional.empty());
         }
-        Verdict verdict = verdict(state, position, change);
+        Optional<Verdict> refusal = refusal(state, change);
+        AcceptedState candidate = refusal.isPresent() ? state : state.edited(position, change);
+        Verdict verdict = refusal.orElseGet(() -> validated(candidate, position, change));
         HistoryEntry entry = new HistoryEntry(
                 position,
                 change.id(),
@@ -51,7 +53,8 @@
                 change.time(),
                 change.edits().stream().map(DocumentEdit::name).toList(),
                 verdict);
-        return new Step(state.after(entry, change.edits()), verdict, Optional.of(entry));
+        AcceptedState reached = entry.accepted() ? candidate : state;
+        return new Step(reached.decided(entry), verdict, Optional.of(entry));
     }
 
     private Step malformed(AcceptedState state, long position, ConfigurationRecord.Malformed record) {
@@ -61,27 +64,28 @@
         }
         HistoryEntry entry =
                 new HistoryEntry(position, record.changeId(), record.author(), "", Instant.EPOCH, List.of(), verdict);
-        return new Step(state.after(entry, List.of()), verdict, Optional.of(entry));
+        return new Step(state.decided(entry), verdict, Optional.of(entry));
     }
 
-    private Verdict verdict(AcceptedState state, long position, ChangeSet change) {
+    private static Optional<Verdict> refusal(AcceptedState state, ChangeSet change) {
         if (change.basedOn() < state.historyFloor()) {
-            return new Verdict.Stale(change.basedOn(), state.historyFloor());
+            return Optional.of(new Verdict.Stale(change.basedOn(), state.historyFloor()));
         }
         List<Problem> problems = shapeProblems(change);
         if (!problems.isEmpty()) {
-            return invalid(problems);
+            return Optional.of(invalid(problems));
         }
         List<DocumentConflict> conflicts = change.edits().stream()
                 .filter(edit -> edit.baseVersion() != state.version(edit.name()))
                 .map(edit -> conflict(state, edit))
                 .toList();
-        if (!conflicts.isEmpty()) {
-            return new Verdict.Conflict(conflicts);
-        }
+        return conflicts.isEmpty() ? Optional.empty() : Optional.of(new Verdict.Conflict(conflicts));
+    }
+
+    private Verdict validated(AcceptedState candidate, long position, ChangeSet change) {
         Set<DocumentName> changed =
                 change.edits().stream().map(DocumentEdit::name).collect(Collectors.toSet());
-        problems = validator.check(candidate(state, position, change), changed);
+        List<Problem> problems = validator.check(candidate, changed);
         return problems.isEmpty() ? new Verdict.Accepted(position) : invalid(problems);
     }
 
@@ -89,18 +93,6 @@
         return new Verdict.Invalid(problems.subList(0, Math.min(MAX_PROBLEMS, problems.size())));
     }
 
-    private static AcceptedState candidate(AcceptedState state, long position, ChangeSet change) {
-        HistoryEntry entry = new HistoryEntry(
-                position,
-                change.id(),
-                change.author(),
-                change.reason(),
-                change.time(),
-                List.of(),
-                new Verdict.Accepted(position));
-        return state.after(entry, change.edits());
-    }
-
     private static List<Problem> shapeProblems(ChangeSet change) {
         List<Problem> problems = new ArrayList<>();
         if (change.edits().isEmpty()) {
--- a/configuration/src/main/java/coriandersill/configuration/Configuration.java
+++ b/configuration/src/main/java/coriandersill/configuration/Configuration.java
@@ -3,6 +3,8 @@
 import coriandersill.core.AvailabilityZone;
 import coriandersill.core.ServiceName;
 import coriandersill.core.WorkspaceName;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -17,7 +19,7 @@
 
     /** Copies the documents; refuses null. */
     public Configuration {
-        documents = Map.copyOf(Objects.requireNonNull(documents, "documents"));
+        documents = Collections.unmodifiableMap(new HashMap<>(Objects.requireNonNull(documents, "documents")));
     }
 
     /** Returns the configuration before the first record. */
--- a/configuration/src/main/java/coriandersill/configuration/SnapshotPolicy.java
+++ b/configuration/src/main/java/coriandersill/configuration/SnapshotPolicy.java
@@ -26,6 +26,6 @@
      * Returns a policy for a log that keeps records for {@code retention}: a quarter of it, with as much jitter / 4.
      */
     public static SnapshotPolicy forRetention(Duration retention) {
-        return new SnapshotPolicy(retention.dividedBy(4), 4_000, retention.dividedBy(16), Duration.ofSeconds(10));
+        return new SnapshotPolicy(retention.dividedBy(4), 1_000, retention.dividedBy(16), Duration.ofSeconds(10));
     }
 }
--- a/configuration/src/main/java/coriandersill/configuration/StandardRule.java
+++ b/configuration/src/main/java/coriandersill/configuration/StandardRule.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 
 /** The rules between documents that hold in every configuration. */
@@ -57,25 +56,35 @@
     API_KEY_IDS_UNIQUE {
         @Override
         void collect(AcceptedState candidate, Set<DocumentName> changed, List<Problem> problems) {
-            if (ofKind(changed, DocumentKind.WORKSPACE).findAny().isEmpty()) {
+            Map<String, DocumentName> owners = new HashMap<>();
+            changed(candidate, changed, WorkspaceDocument.class)
+                    .forEach(workspace -> workspace.keys().forEach(key -> {
+                        DocumentName other = owners.putIfAbsent(key.id(), workspace.documentName());
+                        if (other != null) {
+                            problems.add(keyUsedTwice(workspace.documentName(), key.id(), other));
+                        }
+                    }));
+            if (owners.isEmpty()) {
                 return;
             }
-            Map<String, DocumentName> owners = new HashMap<>();
-            BiConsumer<DocumentName, String> claim = (owner, id) -> {
-                DocumentName other = owners.putIfAbsent(id, owner);
-                if (other != null) {
-                    DocumentName wrong = changed.contains(owner) ? owner : other;
-                    DocumentName holder = wrong.equals(owner) ? other : owner;
-                    problems.add(Problem.of(wrong, "keys", "ids used once", "\"" + id + "\", also in " + holder));
+            for (VersionedDocument versioned : candidate.documents().values()) {
+                if (versioned.document() instanceof WorkspaceDocument workspace) {
+                    collectKeys(workspace, changed, owners, problems);
                 }
-            };
-            every(candidate, WorkspaceDocument.class)
-                    .filter(workspace -> !changed.contains(workspace.documentName()))
-                    .forEach(workspace ->
-                            workspace.keys().forEach(key -> claim.accept(workspace.documentName(), key.id())));
-            changed(candidate, changed, WorkspaceDocument.class)
-                    .forEach(workspace ->
-                            workspace.keys().forEach(key -> claim.accept(workspace.documentName(), key.id())));
+            }
+        }
+
+        private void collectKeys(
+                WorkspaceDocument workspace,
+                Set<DocumentName> changed,
+                Map<String, DocumentName> owners,
+                List<Problem> problems) {
+            for (ApiKeyHash key : workspace.keys()) {
+                DocumentName owner = owners.get(key.id());
+                if (owner != null && !changed.contains(workspace.documentName())) {
+                    problems.add(keyUsedTwice(owner, key.id(), workspace.documentName()));
+                }
+            }
         }
     },
     /** Of the declared availability zones at least one is in service. */
@@ -107,6 +116,10 @@
 
     abstract void collect(AcceptedState candidate, Set<DocumentName> changed, List<Problem> problems);
 
+    static Problem keyUsedTwice(DocumentName wrong, String id, DocumentName other) {
+        return Problem.of(wrong, "keys", "ids used once", "\"" + id + "\", also in " + other);
+    }
+
     static void checkRollout(AcceptedState candidate, RolloutDocument rollout, List<Problem> problems) {
         Optional<ServiceDocument> service = find(candidate, rollout.service());
         if (service.isEmpty()) {
