--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/configuration/ConfigurationMeasurements.java
@@ -0,0 +1,30 @@
+package coriandersill.bench.configuration;
+
+import java.time.Duration;
+
+/**
+ * Runs the measurements of the configuration.
+ *
+ * <p>Arguments: {@code memory}, {@code fold}, {@code recovery}, or {@code fanout READERS CHANGES INTERVAL_MS DELAY_MS}.
+ */
+public final class ConfigurationMeasurements {
+    private ConfigurationMeasurements() {}
+
+    /** Runs the measurement that the first argument names and prints its figures. */
+    public static void main(String[] args) throws Exception {
+        StateMeasurement state = new StateMeasurement();
+        switch (args.length == 0 ? "" : args[0]) {
+            case "memory" -> state.memory();
+            case "fold" -> state.foldCost();
+            case "recovery" -> state.recovery();
+            case "fanout" -> new FanoutMeasurement()
+                    .run(new FanoutMeasurement.Plan(
+                            Integer.parseInt(args[1]),
+                            Integer.parseInt(args[2]),
+                            Duration.ofMillis(Long.parseLong(args[3])),
+                            Duration.ofMillis(Long.parseLong(args[4]))));
+            default -> throw new IllegalArgumentException(
+                    "arguments: expected memory, fold, recovery or fanout READERS CHANGES INTERVAL_MS DELAY_MS");
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/configuration/FanoutMeasurement.java
@@ -0,0 +1,157 @@
+package coriandersill.bench.configuration;
+
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.Configuration;
+import coriandersill.configuration.ConfigurationFold;
+import coriandersill.configuration.ConfigurationListener;
+import coriandersill.configuration.ConfigurationState;
+import coriandersill.configuration.HistoryEntry;
+import coriandersill.configuration.StandardRule;
+import coriandersill.configuration.log.ConfigurationService;
+import coriandersill.core.InstanceId;
+import coriandersill.documents.RecordCodec;
+import coriandersill.platform.Scheduler;
+import coriandersill.platform.http.HttpPlatform;
+import coriandersill.standins.platform.InMemoryLog;
+import coriandersill.standins.platform.PlatformServer;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLongArray;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Measures the time from the sending of a change to its being in force in each of many processes. */
+final class FanoutMeasurement {
+    private static final String STREAM = ConfigurationService.STREAM;
+
+    /** 400 documents: 350 processes in one heap do not hold 3,000 each. */
+    private static final int INITIAL_CHANGES = 4;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
+    private final Scheduler scheduler = Scheduler.of(timers);
+    private final WorkerPool workers = WorkerPool.of("bench", 3, 100_000);
+    private final InMemoryLog log = InMemoryLog.of(InstantSource.system(), scheduler);
+    private final ConfigurationFold fold = ConfigurationFold.of(StandardRule.all());
+    private final List<HttpPlatform> platforms = new ArrayList<>();
+    private ConfigurationState state = ConfigurationState.initial();
+    private long offset;
+
+    /**
+     * What to measure.
+     *
+     * @param readers processes that follow the log
+     * @param changes changes of one document each
+     * @param interval time between two changes; zero for a burst
+     * @param delay delay of every answer of the log
+     */
+    record Plan(int readers, int changes, Duration interval, Duration delay) {}
+
+    void run(Plan plan) throws Exception {
+        SampleConfiguration.initialChanges().stream().limit(INITIAL_CHANGES).forEach(this::append);
+        PlatformServer server = PlatformServer.create(vertx, "127.0.0.1", 0, log);
+        server.start().get(10, TimeUnit.SECONDS);
+        AtomicLongArray sent = new AtomicLongArray(plan.changes());
+        CountDownLatch seen = new CountDownLatch(plan.changes() * plan.readers());
+        Histogram histogram = new ConcurrentHistogram(TimeUnit.MINUTES.toMicros(10), 3);
+        start(plan, server.port(), new Recorder(sent, seen, histogram));
+        log.faults().slow(plan.delay());
+        long before = received();
+        long readsBefore = log.reads();
+        long start = System.nanoTime();
+        for (int i = 0; i < plan.changes(); i++) {
+            int number = i;
+            timers.schedule(
+                    () -> {
+                        sent.set(number, System.nanoTime());
+                        append(SampleConfiguration.change(state.accepted(), number));
+                    },
+                    plan.interval().toNanos() * i,
+                    TimeUnit.NANOSECONDS);
+        }
+        boolean all = seen.await(10, TimeUnit.MINUTES);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        report(plan, histogram, seen.getCount(), all, seconds, received() - before, log.reads() - readsBefore);
+        close();
+    }
+
+    private void start(Plan plan, int port, ConfigurationListener recorder) throws Exception {
+        List<ConfigurationService> services = new ArrayList<>();
+        for (int i = 0; i < plan.readers(); i++) {
+            HttpPlatform platform = HttpPlatform.builder(vertx, "127.0.0.1", port)
+                    .executor(workers)
+                    .deadline(Duration.ofSeconds(30))
+                    .build();
+            platforms.add(platform);
+            ConfigurationService service = ConfigurationService.builder(
+                            InstanceId.of("reader-" + i), platform.log(), scheduler)
+                    .executor(workers)
+                    .build();
+            service.addListener(recorder);
+            service.start().get(10, TimeUnit.SECONDS);
+            services.add(service);
+        }
+        for (ConfigurationService service : services) {
+            service.whenReady().get(2, TimeUnit.MINUTES);
+        }
+    }
+
+    private synchronized void append(ChangeSet change) {
+        state = fold.fold(state, offset, change).state();
+        offset++;
+        CompletableFuture<Long> unused = log.append(STREAM, List.of(RecordCodec.encode(change)));
+    }
+
+    private long received() {
+        return platforms.stream().mapToLong(HttpPlatform::receivedBytes).sum();
+    }
+
+    private static void report(
+            Plan plan, Histogram times, long missing, boolean all, double seconds, long bytes, long reads) {
+        System.out.printf(
+                "fanout %s: in force p50 %.1f ms, p99 %.1f ms, max %.1f ms, %d of %d missing, %s%n",
+                plan,
+                times.getValueAtPercentile(50) / 1e3,
+                times.getValueAtPercentile(99) / 1e3,
+                times.getMaxValue() / 1e3,
+                missing,
+                (long) plan.changes() * plan.readers(),
+                all ? "complete" : "timed out");
+        System.out.printf(
+                "fanout: %.1f s, %.0f body bytes/s and %.2f reads/s per process, %.0f body bytes per change%n",
+                seconds,
+                bytes / seconds / plan.readers(),
+                reads / seconds / plan.readers(),
+                (double) bytes / plan.readers() / plan.changes());
+    }
+
+    private void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
+        timers.shutdownNow();
+        workers.stop(Duration.ZERO).get(1, TimeUnit.SECONDS);
+    }
+
+    private record Recorder(AtomicLongArray sent, CountDownLatch seen, Histogram histogram)
+            implements ConfigurationListener {
+        @Override
+        public void inForce(Configuration current) {}
+
+        @Override
+        public void decided(HistoryEntry entry) {
+            if (entry.changeId().startsWith("change-")) {
+                int number = Integer.parseInt(entry.changeId().substring("change-".length()));
+                histogram.recordValue((System.nanoTime() - sent.get(number)) / 1_000);
+                seen.countDown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/configuration/StateMeasurement.java
@@ -0,0 +1,160 @@
+package coriandersill.bench.configuration;
+
+import coriandersill.configuration.AcceptedState;
+import coriandersill.configuration.ChangeSet;
+import coriandersill.configuration.ConfigurationFold;
+import coriandersill.configuration.ConfigurationState;
+import coriandersill.configuration.PeerState;
+import coriandersill.configuration.SnapshotChunk;
+import coriandersill.configuration.StandardRule;
+import coriandersill.configuration.log.ConfigurationService;
+import coriandersill.core.InstanceId;
+import coriandersill.documents.RecordCodec;
+import coriandersill.platform.Scheduler;
+import coriandersill.platform.http.HttpPlatform;
+import coriandersill.standins.platform.InMemoryLog;
+import coriandersill.standins.platform.PlatformServer;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Measures a state of 3,000 documents: memory, cost of a fold step, and the recovery of a newcomer. */
+final class StateMeasurement {
+    private static final int COPIES = 20;
+    private static final int STEPS = 2_000;
+    private static final int TAIL = 2_000;
+    private static final int PER_CHUNK = 100;
+
+    private final ConfigurationFold fold = ConfigurationFold.of(StandardRule.all());
+
+    void memory() {
+        byte[] bytes = RecordCodec.encode(PeerState.whole(withHistory().accepted()));
+        List<PeerState> copies = new ArrayList<>();
+        long before = usedHeap();
+        for (int i = 0; i < COPIES; i++) {
+            copies.add(RecordCodec.decodePeer(bytes));
+        }
+        long after = usedHeap();
+        System.out.printf(
+                "memory: %d documents, %d history entries: %.2f MB a state; %.2f MB as peer state on the wire%n",
+                copies.get(0).accepted().documents().size(),
+                copies.get(0).accepted().history().size(),
+                (after - before) / 1e6 / COPIES,
+                bytes.length / 1e6);
+    }
+
+    void foldCost() {
+        for (int round = 1; round <= 3; round++) {
+            ConfigurationState state = SampleConfiguration.initialState();
+            List<byte[]> records = new ArrayList<>();
+            for (int i = 0; i < STEPS; i++) {
+                ChangeSet change = SampleConfiguration.change(state.accepted(), i);
+                records.add(RecordCodec.encode(change));
+                state = fold.fold(state, state.position() + 1, change).state();
+            }
+            ConfigurationState again = SampleConfiguration.initialState();
+            long start = System.nanoTime();
+            for (byte[] record : records) {
+                again = fold.fold(again, again.position() + 1, RecordCodec.decode(record))
+                        .state();
+            }
+            double micros = (System.nanoTime() - start) / 1e3 / STEPS;
+            System.out.printf(
+                    "fold round %d: %.1f us a change with decoding, %d bytes a change, equal: %s%n",
+                    round, micros, records.get(0).length, again.accepted().equals(state.accepted()));
+        }
+    }
+
+    void recovery() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+        WorkerPool workers = WorkerPool.of("bench", 2, 10_000);
+        InMemoryLog log = InMemoryLog.of(InstantSource.system(), Scheduler.of(timers));
+        ConfigurationState state = fill(log);
+        PlatformServer server = PlatformServer.create(vertx, "127.0.0.1", 0, log);
+        server.start().get(10, TimeUnit.SECONDS);
+        for (int round = 1; round <= 5; round++) {
+            HttpPlatform platform = HttpPlatform.builder(vertx, "127.0.0.1", server.port())
+                    .executor(workers)
+                    .build();
+            ConfigurationService newcomer = ConfigurationService.builder(
+                            InstanceId.of("newcomer-" + round), platform.log(), Scheduler.of(timers))
+                    .executor(workers)
+                    .build();
+            long start = System.nanoTime();
+            newcomer.start().get(10, TimeUnit.SECONDS);
+            newcomer.whenReady().get(60, TimeUnit.SECONDS);
+            double millis = (System.nanoTime() - start) / 1e6;
+            System.out.printf(
+                    "recovery round %d from the log: %.0f ms, %.2f MB read, state equal: %s%n",
+                    round,
+                    millis,
+                    platform.receivedBytes() / 1e6,
+                    newcomer.state()
+                            .accepted()
+                            .documents()
+                            .equals(state.accepted().documents()));
+            newcomer.stop(Duration.ZERO).get(1, TimeUnit.SECONDS);
+        }
+        fromPeer(state);
+        vertx.close().toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
+        timers.shutdownNow();
+        workers.stop(Duration.ZERO).get(1, TimeUnit.SECONDS);
+    }
+
+    private void fromPeer(ConfigurationState state) {
+        byte[] whole = RecordCodec.encode(PeerState.whole(state.accepted()));
+        byte[] delta = RecordCodec.encode(PeerState.since(state.position() - 2, state.accepted()));
+        for (int round = 1; round <= 5; round++) {
+            long start = System.nanoTime();
+            ConfigurationState reached = fold.importPeer(ConfigurationState.initial(), RecordCodec.decodePeer(whole))
+                    .state();
+            System.out.printf(
+                    "recovery round %d from a peer: %.0f ms, %.2f MB, proof %s; two changes as a delta: %d bytes%n",
+                    round, (System.nanoTime() - start) / 1e6, whole.length / 1e6, reached.proof(), delta.length);
+        }
+    }
+
+    /** Writes a snapshot and a tail of changes, as a trimmed log holds them. */
+    private ConfigurationState fill(InMemoryLog log) {
+        List<byte[]> records = new ArrayList<>();
+        SampleConfiguration.initialChanges().forEach(change -> records.add(RecordCodec.encode(change)));
+        ConfigurationState state = SampleConfiguration.initialState();
+        long firstKept = records.size();
+        AcceptedState snapshot = state.accepted();
+        for (SnapshotChunk chunk : SnapshotChunk.of("bench:1", snapshot, PER_CHUNK)) {
+            records.add(RecordCodec.encode(chunk));
+            state = fold.fold(state, records.size() - 1, chunk).state();
+        }
+        for (int i = 0; i < TAIL; i++) {
+            ChangeSet change = SampleConfiguration.change(state.accepted(), i);
+            records.add(RecordCodec.encode(change));
+            state = fold.fold(state, records.size() - 1, change).state();
+        }
+        log.append(ConfigurationService.STREAM, records).join();
+        log.faults().trim(ConfigurationService.STREAM, firstKept);
+        return state;
+    }
+
+    private ConfigurationState withHistory() {
+        ConfigurationState state = SampleConfiguration.initialState();
+        for (int i = 0; i < AcceptedState.HISTORY_LIMIT; i++) {
+            state = fold.fold(state, state.position() + 1, SampleConfiguration.change(state.accepted(), i))
+                    .state();
+        }
+        return state;
+    }
+
+    private static long usedHeap() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+}
