--- /dev/null
+++ b/explorer/src/test/java/coriandersill/explorer/LeaseExplorerTest.java
@@ -0,0 +1,32 @@
+package coriandersill.explorer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** HAZARDS V5: one holder at a time, and no order takes effect after one of a later holder. */
+final class LeaseExplorerTest {
+    private static final int SCHEDULES = 3_000;
+
+    @Test
+    void ordersTakeEffectInTheOrderOfTheirTokensUnderEverySchedule() {
+        LeaseScenario scenario = new LeaseScenario(LeaseScenario.Fault.NONE);
+        Explorer.of(scenario).explore(1, SCHEDULES);
+        System.out.println(SCHEDULES + " schedules: " + scenario.totalOrders() + " orders took effect, "
+                + scenario.totalTakeovers() + " holders");
+        assertThat("holders change", scenario.totalTakeovers(), greaterThan(SCHEDULES));
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void eachBrokenDecisionIsFound(LeaseScenario.Fault fault) {
+        OptionalLong seed = Explorer.of(new LeaseScenario(fault)).firstFailure(1, SCHEDULES);
+        System.out.println(fault + " fails first at seed " + seed);
+        assertThat(fault.toString(), seed.isPresent(), is(true));
+    }
+}
