--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/coordination/PlanCost.java
@@ -0,0 +1,65 @@
+package coriandersill.bench.coordination;
+
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.InstanceId;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.membership.ConnectionPlan;
+import coriandersill.membership.Member;
+import coriandersill.membership.PlanSettings;
+import coriandersill.membership.Regions;
+import coriandersill.membership.Role;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+/** Measures the connection plan of 350 entries and 5,500 sidecars: degrees and the time of one computation. */
+public final class PlanCost {
+    private static final String[] ZONES = {
+        "a-1", "a-2", "a-3", "b-1", "b-2", "b-3", "c-1", "c-2", "d-1", "d-2", "e-1", "e-2"
+    };
+
+    private PlanCost() {}
+
+    /** Prints the figures. */
+    public static void main(String[] arguments) {
+        List<Member> entries = members(Role.ENTRY, 350);
+        List<Member> sidecars = members(Role.SIDECAR, 5500);
+        ConnectionPlan plan = ConnectionPlan.of(PlanSettings.standard(), Regions.byPrefix());
+        Map<InstanceId, Integer> reached = new HashMap<>();
+        int least = Integer.MAX_VALUE;
+        int most = 0;
+        long total = 0;
+        long start = System.nanoTime();
+        for (Member entry : entries) {
+            Set<InstanceId> chosen = plan.sidecarsFor(entry, entries, sidecars);
+            chosen.forEach(id -> reached.merge(id, 1, Integer::sum));
+            least = Math.min(least, chosen.size());
+            most = Math.max(most, chosen.size());
+            total += chosen.size();
+        }
+        double millis = (System.nanoTime() - start) / 1e6 / entries.size();
+        IntStream degrees = reached.values().stream().mapToInt(Integer::intValue);
+        System.out.printf(
+                "entry connections min %d mean %.1f max %d  sidecar %s  ms per plan %.1f%n",
+                least, (double) total / entries.size(), most, degrees.summaryStatistics(), millis);
+    }
+
+    private static List<Member> members(Role role, int count) {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            boolean sidecar = role == Role.SIDECAR;
+            Optional<ServiceName> service =
+                    sidecar ? Optional.of(ServiceName.of("model-" + i / ZONES.length % 13)) : Optional.empty();
+            Optional<VersionName> version = service.map(any -> VersionName.of("v1"));
+            InstanceId id = InstanceId.of((sidecar ? "sidecar-" : "entry-") + i);
+            AvailabilityZone zone = AvailabilityZone.of(ZONES[i % ZONES.length]);
+            members.add(new Member(id, role, zone, "127.0.0.1", 1, service, version));
+        }
+        return members;
+    }
+}
--- a/idempotency-log/src/main/java/coriandersill/idempotency/log/ClaimService.java
+++ b/idempotency-log/src/main/java/coriandersill/idempotency/log/ClaimService.java
@@ -80,8 +80,9 @@
         this.scheduler = builder.scheduler;
         this.events = builder.events;
         this.table = IdempotencyTable.of(builder.window, builder.maxKeys, builder.maxBodyBytes);
-        this.claims = builder.appender(builder.claimWait);
-        this.settlements = new Settlements(builder.appender(builder.settlementWait), builder.scheduler);
+        this.claims = builder.appender(builder.claimInterval, builder.claimWait);
+        this.settlements = new Settlements(
+                builder.appender(builder.settlementInterval, builder.settlementWait), builder.scheduler);
         // Read back after an outage, it tells the follower that the log answers again.
         this.marker = ClaimCodec.marker(GenerationId.random(builder.random));
         this.follower = LogFollower.builder(builder.log, builder.stream, builder.scheduler)
--- a/idempotency-log/src/main/java/coriandersill/idempotency/log/ClaimServiceBuilder.java
+++ b/idempotency-log/src/main/java/coriandersill/idempotency/log/ClaimServiceBuilder.java
@@ -32,7 +32,8 @@
     Duration claimWait = Duration.ofSeconds(2);
     final Duration settlementWait = Duration.ofSeconds(30);
 
-    private Duration batchInterval = Duration.ofMillis(2);
+    Duration claimInterval = Duration.ofMillis(10);
+    Duration settlementInterval = Duration.ofMillis(100);
     private Duration logRetention = Duration.ofDays(7);
 
     ClaimServiceBuilder(PlatformLog log, Scheduler scheduler, InstanceId instance, long incarnation) {
@@ -104,9 +105,13 @@
         return this;
     }
 
-    /** How long the first claim of a batch waits for others; 2 ms unless set. */
-    public ClaimServiceBuilder batchInterval(Duration value) {
-        this.batchInterval = Objects.requireNonNull(value, "batchInterval");
+    /**
+     * How long the first record of a batch waits for others: of claims, which callers wait for, and of outcomes and
+     * releases; 10 ms and 100 ms unless set. They bound the appends of this process.
+     */
+    public ClaimServiceBuilder batchIntervals(Duration claims, Duration settlements) {
+        this.claimInterval = Objects.requireNonNull(claims, "claims");
+        this.settlementInterval = Objects.requireNonNull(settlements, "settlements");
         return this;
     }
 
@@ -120,12 +125,12 @@
         return new ClaimService(this);
     }
 
-    BatchingAppender appender(Duration maxWait) {
+    BatchingAppender appender(Duration interval, Duration maxWait) {
         return BatchingAppender.builder(log, stream, scheduler)
                 .executor(executor)
                 .random(random)
                 .clock(clock)
-                .interval(batchInterval)
+                .interval(interval)
                 .maxWait(maxWait)
                 .build();
     }
