Test that a late connection of a replaced incarnation brings no instance back

Cause: the trial with conditions taken out showed that no test told it apart.

Before: with the comparison of incarnations taken out every test passed. After: aDrainIsImmediateAndLastsForTheIncarnation fails with it out and passes with it in.

--- a/membership/src/test/java/coriandersill/membership/MembershipTableTest.java
+++ b/membership/src/test/java/coriandersill/membership/MembershipTableTest.java
@@ -86,6 +86,9 @@
         table.draining(id(1), 5);
         table.disconnected(id(1), 5);
         assertThat("a replaced incarnation changes nothing", table.state(id(1)), is(MemberState.LIVE));
+        table.disconnected(id(1), 6);
+        table.connected(member(1), 5);
+        assertThat("nor does its late connection", table.state(id(1)), is(MemberState.SUSPECT));
     }
 
     @Test
