--- a/admission/src/main/java/coriandersill/admission/EngineHealth.java
+++ b/admission/src/main/java/coriandersill/admission/EngineHealth.java
@@ -5,11 +5,16 @@
  * {@link PredictiveAdmission}.
  */
 final class EngineHealth {
+    private static final double UNSEEN_SMOOTHING = 0.2;
+
     private final AdmissionSettings settings;
     private final ColdStartLimit coldStart;
     private final ConcurrencyCeiling ceiling;
     private final UsableMemory memory;
     private final BaselineGap baseline = new BaselineGap();
+    /** Memory that the engine uses beyond what admission counts: prompts estimated too short, blocks not full. */
+    private double unseenTokens;
+
     /** When the upstream was first seen to work since it was last cold; of no use unless {@code known}. */
     private long coldSinceNanos;
 
@@ -31,10 +36,15 @@
     }
 
     long usableTokens(long nowNanos) {
-        return memory.tokens(nowNanos);
+        return Math.max(0, memory.tokens(nowNanos) - (long) unseenTokens);
     }
 
-    void signal(EngineSignal signal, long nowNanos) {
+    /** Takes in a signal at a time when admission counts {@code heldTokens} as held. */
+    void signal(EngineSignal signal, long heldTokens, long nowNanos) {
+        if (signal.usedTokens() >= 0) {
+            double unseen = Math.max(0, signal.usedTokens() - heldTokens);
+            unseenTokens += UNSEEN_SMOOTHING * (unseen - unseenTokens);
+        }
         if (signal.preemptions() > 0) {
             memory.preempted(nowNanos);
         }
--- a/admission/src/main/java/coriandersill/admission/PredictiveAdmission.java
+++ b/admission/src/main/java/coriandersill/admission/PredictiveAdmission.java
@@ -171,7 +171,7 @@
 
     /** Takes in what the engine says about itself. */
     public void observed(EngineSignal signal) {
-        lock.run(() -> health.signal(signal, clock.nanos()));
+        lock.run(() -> health.signal(signal, running.heldTokens(), clock.nanos()));
     }
 
     /** Falls back to the cold limit at once: the upstream is known to have restarted. */
--- a/admission/src/test/java/coriandersill/admission/PredictiveAdmissionTest.java
+++ b/admission/src/test/java/coriandersill/admission/PredictiveAdmissionTest.java
@@ -287,6 +287,23 @@
                 contains(new AdmissionDecision.Admitted(Requests.id(3))));
     }
 
+    @Test
+    void memoryThatTheEngineUsesBeyondTheCountedIsNotGivenOut() {
+        PredictiveAdmission gate = builder()
+                .estimator(FixedLengthEstimator.of(1))
+                .prefillTokens(100_000)
+                .build();
+        gate.offer(Requests.generation(1, "w", 5_000, 10));
+        for (int i = 0; i < 50; i++) {
+            gate.observed(new EngineSignal(0, 15_000));
+        }
+        assertThat(gate.offer(Requests.generation(2, "w", 6_000, 10)), instanceOf(AdmissionDecision.Waiting.class));
+        for (int i = 0; i < 50; i++) {
+            gate.observed(new EngineSignal(0, 5_000));
+        }
+        assertThat(gate.expire(), contains(new AdmissionDecision.Admitted(Requests.id(2))));
+    }
+
     @Test
     void onlyWhatHasDeliveredNothingIsGivenUpWhenMemoryRunsOut() {
         PredictiveAdmission gate = builder()
