--- a/bench/src/main/java/coriandersill/bench/admission/TableMemory.java
+++ b/bench/src/main/java/coriandersill/bench/admission/TableMemory.java
@@ -34,9 +34,12 @@
     private static void print(String name, int items, Supplier<Object> table) {
         long before = used();
         Object kept = table.get();
-        long bytes = used() - before;
-        System.out.printf("%s: %d items, %.1f MB, %d bytes each%n", name, items, bytes / 1e6, bytes / items);
-        Reference.reachabilityFence(kept);
+        try {
+            long bytes = used() - before;
+            System.out.printf("%s: %d items, %.1f MB, %d bytes each%n", name, items, bytes / 1e6, bytes / items);
+        } finally {
+            Reference.reachabilityFence(kept);
+        }
     }
 
     private static Object estimator() {
