Compute each candidate's load once in the affinity choice

Cause: the bounded choice computed every load twice, and the benchmark built names anew. Change: one array of loads; constants in the benchmark.

--- a/bench/src/main/java/coriandersill/bench/routing/RouteAndAdmitBenchmark.java
+++ b/bench/src/main/java/coriandersill/bench/routing/RouteAndAdmitBenchmark.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Fork;
@@ -49,10 +50,13 @@
 @Fork(1)
 public class RouteAndAdmitBenchmark {
     private static final VersionName VERSION = VersionName.of("v1");
+    private static final ServiceName SERVICE = ServiceName.of("scribe");
     private static final RouteName ROUTE = RouteName.of("completions");
     private static final int PREFIXES = 64;
     private static final int RUNNING = 30;
-    private static final int WORKSPACES = 10;
+    private static final List<WorkspaceName> WORKSPACES = IntStream.range(0, 10)
+            .mapToObj(index -> WorkspaceName.of("workspace-" + index))
+            .toList();
 
     /** The number of candidates. */
     @Param({"8", "64", "512"})
@@ -108,18 +112,11 @@
 
     private RouteRequest routeRequest() {
         return new RouteRequest(
-                ServiceName.of("scribe"),
-                ROUTE,
-                VERSION,
-                known.get(0).zone(),
-                1 + next++ % PREFIXES,
-                300,
-                520,
-                Set.of());
+                SERVICE, ROUTE, VERSION, known.get(0).zone(), 1 + next++ % PREFIXES, 300, 520, Set.of());
     }
 
     private AdmissionRequest admissionRequest(GenerationId id) {
-        WorkspaceName workspace = WorkspaceName.of("workspace-" + id.low() % WORKSPACES);
+        WorkspaceName workspace = WORKSPACES.get((int) (id.low() % WORKSPACES.size()));
         return new AdmissionRequest(id, 1, workspace, 1, ROUTE, VERSION, 300, 4_096, 0, clock.nanos() + 1_000_000_000L);
     }
 }
--- a/routing/src/main/java/coriandersill/routing/PrefixAffinity.java
+++ b/routing/src/main/java/coriandersill/routing/PrefixAffinity.java
@@ -35,28 +35,32 @@
         if (request.affinityHash() == 0) {
             return otherwise.choose(request, candidates);
         }
-        double limit = bound * meanLoad(request, candidates);
+        double[] loads = new double[candidates.size()];
+        double limit = Math.min(FULL_LOAD, bound * meanLoad(request, candidates, loads));
         Candidate best = null;
         long bestRank = 0;
-        for (Candidate candidate : candidates) {
-            if (!candidate.suits(request) || candidate.predictedLoad() > Math.min(limit, FULL_LOAD)) {
+        for (int i = 0; i < loads.length; i++) {
+            if (loads[i] > limit) {
                 continue;
             }
-            long rank = rank(request.affinityHash(), candidate);
+            long rank = rank(request.affinityHash(), candidates.get(i));
             if (best == null || Long.compareUnsigned(rank, bestRank) > 0) {
-                best = candidate;
+                best = candidates.get(i);
                 bestRank = rank;
             }
         }
         return best == null ? otherwise.choose(request, candidates) : Optional.of(best);
     }
 
-    private static double meanLoad(RouteRequest request, List<Candidate> candidates) {
+    /** Fills in the loads, infinite for candidates that do not suit, and returns the mean of the others. */
+    private static double meanLoad(RouteRequest request, List<Candidate> candidates, double[] loads) {
         double sum = 0;
         int count = 0;
-        for (Candidate candidate : candidates) {
-            if (candidate.suits(request)) {
-                sum += candidate.predictedLoad();
+        for (int i = 0; i < loads.length; i++) {
+            loads[i] = Double.POSITIVE_INFINITY;
+            if (candidates.get(i).suits(request)) {
+                loads[i] = candidates.get(i).predictedLoad();
+                sum += loads[i];
                 count++;
             }
         }
