Forget a decided rollout whose declaration is withdrawn

Cause: after a verdict the service kept the rollout's version for ever, over the current version of its document.

Ruled out: dropping it at the verdict, which would send traffic back to a document not yet changed.

Change: RolloutService.withdraw forgets a decided rollout; the verdict by the log stays known. Test: aDecidedRolloutThatIsWithdrawn..., which passes; it was not run against the code before the change.

--- a/rollout-log/src/main/java/coriandersill/rollout/log/RolloutBook.java
+++ b/rollout-log/src/main/java/coriandersill/rollout/log/RolloutBook.java
@@ -61,13 +61,19 @@
     Optional<RolloutTrack> current(ServiceName service) {
         return lock.with(() -> {
             Optional<RolloutTrack> active = activeLocked(service);
-            if (active.isPresent() || !tracks.containsKey(service)) {
-                return active;
-            }
-            return Optional.of(tracks.get(service).lastEntry().getValue());
+            return active.isPresent()
+                    ? active
+                    : Optional.ofNullable(tracks.getOrDefault(service, new TreeMap<>())
+                                    .lastEntry())
+                            .map(Map.Entry::getValue);
         });
     }
 
+    /** Forgets a declared rollout; its state by the log stays known. */
+    void forget(RolloutId id) {
+        lock.run(() -> tracks.getOrDefault(id.service(), new TreeMap<>()).remove(id.declaredAt()));
+    }
+
     Optional<RolloutState> state(RolloutId id) {
         return lock.with(() -> fold.state(id));
     }
--- a/rollout-log/src/main/java/coriandersill/rollout/log/RolloutService.java
+++ b/rollout-log/src/main/java/coriandersill/rollout/log/RolloutService.java
@@ -125,9 +125,17 @@
         }
     }
 
-    /** Rolls back because the operator has withdrawn the declaration; without effect after the verdict. */
+    /**
+     * Takes the operator's withdrawal of a declaration: a rollout that is under way is rolled back; one that has its
+     * verdict is forgotten here, so that the service's current version serves again.
+     */
     public void withdraw(RolloutId id) {
-        if (book.state(id).filter(state -> state.phase().terminal()).isEmpty()) {
+        if (book.state(id).filter(state -> state.phase().terminal()).isPresent()) {
+            book.forget(id);
+            splits.computeIfPresent(
+                    id.service(),
+                    (service, split) -> book.current(service).map(this::split).orElse(null));
+        } else {
             stop(new RolloutVerdict(id, OPERATOR, settings.clock.millis(), "withdrawn by the operator"));
         }
     }
--- a/rollout-log/src/test/java/coriandersill/rollout/log/RolloutServiceTest.java
+++ b/rollout-log/src/test/java/coriandersill/rollout/log/RolloutServiceTest.java
@@ -103,6 +103,19 @@
         assertThat(entries.shares(), everyItem(greaterThan(0.0)));
     }
 
+    @Test
+    void aDecidedRolloutThatIsWithdrawnLeavesTheServiceToItsCurrentVersion() {
+        RolloutId id = entries.declare(1, Duration.ofMinutes(40));
+        entries.lease(0, 7);
+        entries.withdraw(id);
+        entries.run(Duration.ofMinutes(1));
+        assertThat(entries.verdicts(id), everyItem(is(RolloutPhase.ROLLED_BACK)));
+        assertThat(entries.service(0).versionFor(Entries.SERVICE, 5).isPresent(), is(true));
+        entries.withdraw(id);
+        assertThat(entries.service(0).versionFor(Entries.SERVICE, 5).isPresent(), is(false));
+        assertThat(entries.verdicts(id), everyItem(is(RolloutPhase.ROLLED_BACK)));
+    }
+
     @Test
     void withoutALeaseNothingGoesForward() {
         entries.declare(1, Duration.ofMinutes(10));
