--- a/cli/src/main/java/coriandersill/cli/internal/Changes.java
+++ b/cli/src/main/java/coriandersill/cli/internal/Changes.java
@@ -28,8 +28,7 @@
      */
     record Order(String id, String author, String reason, boolean untilInForce) {}
 
-    static ExitCode apply(
-            Session session, Output output, Order order, AcceptedState base, List<DocumentEdit> edits) {
+    static ExitCode apply(Session session, Output output, Order order, AcceptedState base, List<DocumentEdit> edits) {
         if (edits.isEmpty()) {
             output.result(Output.row().put("answer", "unchanged"), "nothing differs from what is in force");
             return ExitCode.OK;
@@ -50,7 +49,8 @@
             return result.message();
         }
         if (result.verdict().get() instanceof Verdict.Invalid invalid) {
-            return String.join("; ", invalid.problems().stream().map(Changes::text).toList());
+            return String.join(
+                    "; ", invalid.problems().stream().map(Changes::text).toList());
         }
         return result.verdict().get().toString();
     }
--- a/cli/src/main/java/coriandersill/cli/internal/ConfigCommands.java
+++ b/cli/src/main/java/coriandersill/cli/internal/ConfigCommands.java
@@ -32,13 +32,12 @@
 
     private static String text(DocumentDiff.Change change) {
         StringBuilder text = new StringBuilder(change.kind() + " " + change.name());
-        change.fields()
-                .forEach(field -> text.append("\n  ")
-                        .append(field.path())
-                        .append(": ")
-                        .append(field.before())
-                        .append(" -> ")
-                        .append(field.after()));
+        change.fields().forEach(field -> text.append("\n  ")
+                .append(field.path())
+                .append(": ")
+                .append(field.before())
+                .append(" -> ")
+                .append(field.after()));
         return text.toString();
     }
 
@@ -70,7 +69,9 @@
             }
             diff.changes().forEach(one -> output.progress(text(one)));
             output.result(
-                    Output.row().put("valid", true).put("changes", diff.changes().size()),
+                    Output.row()
+                            .put("valid", true)
+                            .put("changes", diff.changes().size()),
                     "valid; " + diff.changes().size() + " documents would change");
             return ExitCode.OK;
         }
--- a/cli/src/main/java/coriandersill/cli/internal/RolloutCommands.java
+++ b/cli/src/main/java/coriandersill/cli/internal/RolloutCommands.java
@@ -39,7 +39,8 @@
         for (LogRecord record : session.stream(STREAM)) {
             try {
                 JsonNode node = MAPPER.readTree(record.data());
-                if (node instanceof ObjectNode object && object.path("service").asText().equals(service)) {
+                if (node instanceof ObjectNode object
+                        && object.path("service").asText().equals(service)) {
                     found.add(Output.row()
                             .put("time", record.time().toString())
                             .put("declared_at", object.path("declaredAt").asLong())
@@ -49,7 +50,8 @@
                             .put("evidence", object.path("evidence").asText()));
                 }
             } catch (IOException malformed) {
-                throw new IllegalStateException("record " + record.offset() + " of " + STREAM + " is not JSON", malformed);
+                throw new IllegalStateException(
+                        "record " + record.offset() + " of " + STREAM + " is not JSON", malformed);
             }
         }
         return found;
@@ -103,8 +105,7 @@
                     Duration.parse(probation),
                     new RolloutDocument.BadnessCriteria(errorRatio, latencyRatio, latencyRatio));
             DocumentEdit edit = DocumentEdit.put(rollout, state.version(rollout.documentName()));
-            return Changes.apply(
-                    session, output, order("rollout of " + service + " to " + to), state, List.of(edit));
+            return Changes.apply(session, output, order("rollout of " + service + " to " + to), state, List.of(edit));
         }
     }
 
@@ -138,7 +139,9 @@
                 Optional<ObjectNode> verdict = verdict(transitions(session, service), declaredAt);
                 if (verdict.isPresent()) {
                     String phase = verdict.get().path("phase").asText();
-                    output.result(verdict.get(), phase + ": " + verdict.get().path("evidence").asText());
+                    output.result(
+                            verdict.get(),
+                            phase + ": " + verdict.get().path("evidence").asText());
                     return phase.equals("DONE") ? ExitCode.OK : ExitCode.ROLLED_BACK;
                 }
                 new CompletableFuture<Void>()
--- a/cli/src/main/java/coriandersill/cli/internal/Session.java
+++ b/cli/src/main/java/coriandersill/cli/internal/Session.java
@@ -36,9 +36,9 @@
     private final int timeoutSeconds;
 
     private Session(String host, int port, int timeoutSeconds) {
-        this.platform = HttpPlatform.builder(vertx, host, port).wait(Duration.ZERO).build();
-        this.client = ConfigurationClient.of(
-                platform.log(), Scheduler.of(timers), Duration.ofSeconds(timeoutSeconds));
+        this.platform =
+                HttpPlatform.builder(vertx, host, port).wait(Duration.ZERO).build();
+        this.client = ConfigurationClient.of(platform.log(), Scheduler.of(timers), Duration.ofSeconds(timeoutSeconds));
         this.timeoutSeconds = timeoutSeconds;
     }
 
@@ -48,8 +48,7 @@
         if (colon < 1) {
             throw new IllegalArgumentException("--platform: expected HOST:PORT, found \"" + address + "\"");
         }
-        return new Session(
-                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)), timeoutSeconds);
+        return new Session(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)), timeoutSeconds);
     }
 
     int timeoutSeconds() {
@@ -79,7 +78,10 @@
     }
 
     List<ListedInstance> instances() {
-        return platform.instances().read().orTimeout(timeoutSeconds, TimeUnit.SECONDS).join();
+        return platform.instances()
+                .read()
+                .orTimeout(timeoutSeconds, TimeUnit.SECONDS)
+                .join();
     }
 
     /** Reads a whole stream as it is kept now. */
--- a/cli/src/main/java/coriandersill/cli/internal/ZoneCommands.java
+++ b/cli/src/main/java/coriandersill/cli/internal/ZoneCommands.java
@@ -27,8 +27,8 @@
         AvailabilityZone zone = AvailabilityZone.of(name);
         ZoneDocument before = state.configuration()
                 .zone(zone)
-                .orElseThrow(() ->
-                        new IllegalArgumentException("zone: expected a declared one, found \"" + name + "\""));
+                .orElseThrow(
+                        () -> new IllegalArgumentException("zone: expected a declared one, found \"" + name + "\""));
         ZoneDocument after = new ZoneDocument(zone, before.region(), inService);
         List<DocumentEdit> edits = before.equals(after)
                 ? List.of()
@@ -54,9 +54,7 @@
 
         @Override
         ExitCode run(Session session, Output output) {
-            return dryRun
-                    ? forecast(session, output)
-                    : set(session, output, order("zone out " + zone), zone, false);
+            return dryRun ? forecast(session, output) : set(session, output, order("zone out " + zone), zone, false);
         }
 
         private ExitCode forecast(Session session, Output output) {
@@ -68,7 +66,8 @@
             for (ListedInstance sidecar : sidecars) {
                 Message.Ping ping = pings.get(sidecar.id());
                 if (ping != null && ping.load().isPresent()) {
-                    int[] sums = services.computeIfAbsent(sidecar.service().get().value(), name -> new int[2]);
+                    int[] sums =
+                            services.computeIfAbsent(sidecar.service().get().value(), name -> new int[2]);
                     sums[0] += ping.load().get().running() + ping.load().get().waiting();
                     boolean stays = !sidecar.zone().value().equals(zone) && !ping.draining();
                     sums[1] += stays ? ping.load().get().limit() : 0;
@@ -122,7 +121,8 @@
             int open = here.stream()
                     .map(instance -> pings.get(instance.id()))
                     .filter(ping -> ping != null && ping.load().isPresent())
-                    .mapToInt(ping -> ping.load().get().running() + ping.load().get().waiting())
+                    .mapToInt(ping ->
+                            ping.load().get().running() + ping.load().get().waiting())
                     .sum();
             return Output.row()
                     .put("zone", zone.zone().value())
--- a/daemon/src/main/java/coriandersill/daemon/internal/SidecarAssembly.java
+++ b/daemon/src/main/java/coriandersill/daemon/internal/SidecarAssembly.java
@@ -35,7 +35,6 @@
     private static final Duration STAMP_LIMIT = Duration.ofSeconds(5);
     private static final int REMEMBERED_TOKENS = 100_000;
 
-    private final Host host;
     private final DaemonSettings settings;
     private final DaemonSettings.SidecarRole role;
     private final ConfigurationService configuration;
@@ -47,7 +46,6 @@
     private Optional<VersionCapacity> capacity = Optional.empty();
 
     SidecarAssembly(Host host, DaemonSettings settings, DaemonSettings.SidecarRole role) {
-        this.host = host;
         this.settings = settings;
         this.role = role;
         this.gate = DispatchGate.of(MonotonicClock.system(), host.random(), STAMP_LIMIT, REMEMBERED_TOKENS);
--- a/entry/src/main/java/coriandersill/entry/Entry.java
+++ b/entry/src/main/java/coriandersill/entry/Entry.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import coriandersill.configuration.Configuration;
+import coriandersill.configuration.ZoneDocument;
 import coriandersill.core.InstanceId;
 import coriandersill.core.ManagedService;
 import coriandersill.core.MonotonicClock;
@@ -73,7 +74,7 @@
                 builder.loops,
                 Objects.requireNonNull(builder.instances, "instances"),
                 MembershipTable.of(builder.membership, builder.clock),
-                ConnectionPlan.of(builder.connections, Regions.byPrefix()),
+                ConnectionPlan.of(builder.connections, builder.regions()),
                 builder.router(),
                 builder.onceOnly,
                 builder.peerMessages);
@@ -263,6 +264,15 @@
             return this;
         }
 
+        /** The region of a zone by its document; by its name while there is none. */
+        private Regions regions() {
+            return zone -> configuration
+                    .get()
+                    .zone(zone)
+                    .map(ZoneDocument::region)
+                    .orElseGet(() -> Regions.byPrefix().of(zone));
+        }
+
         private LongSupplier position() {
             return position.orElse(() -> configuration.get().offset());
         }
--- a/functional/src/test/java/coriandersill/functional/Processes.java
+++ b/functional/src/test/java/coriandersill/functional/Processes.java
@@ -71,7 +71,10 @@
     /** Sends a signal by its name. */
     void signal(String name, String signal) {
         try {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(running.get(name).pid()))
+            new ProcessBuilder(
+                            "kill",
+                            "-" + signal,
+                            Long.toString(running.get(name).pid()))
                     .start()
                     .waitFor(10, TimeUnit.SECONDS);
         } catch (IOException e) {
--- a/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
@@ -84,20 +84,24 @@
     }
 
     private static void sidecar(int number, String service, int upstream) {
-        PROCESSES.daemon("sidecar-" + number, settings("sidecar", "sidecar-" + number, OPERATIONS[number])
-                .put(
-                        "sidecar",
-                        new JsonObject()
-                                .put("service", service)
-                                .put("version", "v1")
-                                .put("upstream", address(upstream)))
-                .encode());
+        PROCESSES.daemon(
+                "sidecar-" + number,
+                settings("sidecar", "sidecar-" + number, OPERATIONS[number])
+                        .put(
+                                "sidecar",
+                                new JsonObject()
+                                        .put("service", service)
+                                        .put("version", "v1")
+                                        .put("upstream", address(upstream)))
+                        .encode());
     }
 
     private static void entry(int number) {
-        PROCESSES.daemon("entry-" + number, settings("entry", "entry-" + number, OPERATIONS[3 + number])
-                .put("entry", new JsonObject().put("http", address(HTTP[number])))
-                .encode());
+        PROCESSES.daemon(
+                "entry-" + number,
+                settings("entry", "entry-" + number, OPERATIONS[3 + number])
+                        .put("entry", new JsonObject().put("http", address(HTTP[number])))
+                        .encode());
     }
 
     private static JsonObject settings(String role, String instance, int operations) {
@@ -116,15 +120,22 @@
 
     private static void writeAgreement() throws IOException {
         String capacity = "{\"v1\":{\"coldConcurrency\":8,\"maxConcurrency\":64,\"memoryTokens\":%d}}";
-        write("services/scribe", "{\"kind\":\"generation\",\"current\":\"v1\",\"versions\":"
-                + String.format(capacity, 1_000_000) + ",\"routes\":[]}");
-        write("services/ledger", "{\"kind\":\"plain\",\"current\":\"v1\",\"versions\":" + String.format(capacity, 0)
-                + ",\"routes\":[{\"name\":\"lookup\",\"method\":\"GET\",\"pathPrefix\":\"/\",\"repeatable\":true},"
-                + "{\"name\":\"change\",\"method\":\"*\",\"pathPrefix\":\"/\",\"repeatable\":false}]}");
+        write(
+                "services/scribe",
+                "{\"kind\":\"generation\",\"current\":\"v1\",\"versions\":" + String.format(capacity, 1_000_000)
+                        + ",\"routes\":[]}");
+        write(
+                "services/ledger",
+                "{\"kind\":\"plain\",\"current\":\"v1\",\"versions\":" + String.format(capacity, 0)
+                        + ",\"routes\":[{\"name\":\"lookup\",\"method\":\"GET\",\"pathPrefix\":\"/\",\"repeatable\":true},"
+                        + "{\"name\":\"change\",\"method\":\"*\",\"pathPrefix\":\"/\",\"repeatable\":false}]}");
         ApiKeyHash hash = ApiKeyHash.of(KEY, "salt");
-        write("workspaces/north", "{\"keys\":[{\"id\":\"" + hash.id() + "\",\"salt\":\"salt\",\"sha256\":\""
-                + hash.sha256() + "\"}],\"services\":[\"scribe\",\"ledger\"],\"weight\":1,\"maxConcurrency\":1000,"
-                + "\"tokensPerSecond\":1000000}");
+        write(
+                "workspaces/north",
+                "{\"keys\":[{\"id\":\"" + hash.id() + "\",\"salt\":\"salt\",\"sha256\":\""
+                        + hash.sha256()
+                        + "\"}],\"services\":[\"scribe\",\"ledger\"],\"weight\":1,\"maxConcurrency\":1000,"
+                        + "\"tokensPerSecond\":1000000}");
         write("zones/shewa-a", "{\"region\":\"shewa\",\"inService\":true}");
     }
 
@@ -148,7 +159,9 @@
 
     private static JsonObject status(int process) {
         try {
-            return caller.call(OPERATIONS[process], "GET", "/status", Map.of(), "").join().json();
+            return caller.call(OPERATIONS[process], "GET", "/status", Map.of(), "")
+                    .join()
+                    .json();
         } catch (java.util.concurrent.CompletionException unreachable) {
             return new JsonObject();
         }
@@ -269,12 +282,13 @@
     @Order(5)
     void aPlannedStopOfAnEntryCutsNoStream() {
         List<CompletableFuture<CallerClient.Streamed>> calls = new ArrayList<>();
-        long before = books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started");
+        long before =
+                books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started");
         for (int i = 0; i < 6; i++) {
             calls.add(caller.stream(HTTP[0], "scribe", 400));
         }
-        Await.until(
-                () -> books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started") >= before + 6);
+        Await.until(() ->
+                books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started") >= before + 6);
         PROCESSES.signal("entry-0", "TERM");
         for (CompletableFuture<CallerClient.Streamed> call : calls) {
             CallerClient.Streamed streamed = call.join();
@@ -308,6 +322,7 @@
     void afterEverythingRestartsEmptyTheDocumentsAreInForceAndAnOldKeyStillRunsOnce() {
         String key = newKey();
         assertThat(book(0, key).join().status(), is(200));
+        Await.value(() -> book(1, key).join(), found -> found.status() == 200);
         for (String name : List.of("entry-0", "entry-1", "sidecar-0", "sidecar-1", "sidecar-2")) {
             PROCESSES.kill(name);
         }
--- a/membership/src/main/java/coriandersill/membership/MemberEntry.java
+++ b/membership/src/main/java/coriandersill/membership/MemberEntry.java
@@ -18,8 +18,9 @@
         this.lastHeardNanos = nowNanos;
     }
 
+    /** A drain that was told counts while its connection is open; a restart comes back over a new one. */
     boolean draining() {
-        return told || leaving;
+        return (told && connected) || leaving;
     }
 
     /** Takes over what belongs to a new incarnation; returns false for one that has been replaced. */
