Test zones and rollouts through whole daemons and the tool; hold the event catalogue and the decision libraries to their rules

Cause: the zone and rollout commands were not exercised, and nothing held the docs' catalogue equal to the code. Change: a zone out with running work, back in; a rollout declared, recorded once and withdrawn; the catalogue; the imports and clocks of the eight decision libraries.

--- a/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedConfiguration.java
+++ b/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedConfiguration.java
@@ -26,8 +26,7 @@
     static final VersionName VERSION = VersionName.of("v1");
     static final VersionName NEXT_VERSION = VersionName.of("v2");
     static final String API_KEY = "quickstart.secret";
-    private static final long MEMORY_TOKENS = 1_000_000;
-    private static final int COLD_CONCURRENCY = 8;
+    private static final long MEMORY_TOKENS = 50_000_000;
 
     private EmbeddedConfiguration() {}
 
@@ -65,8 +64,7 @@
 
     private static ServiceDocument service(
             ServiceName name, ServiceKind kind, EmbeddedPlan plan, long memoryTokens, List<PlainRoute> routes) {
-        int cold = Math.min(COLD_CONCURRENCY, plan.concurrency());
-        VersionCapacity capacity = new VersionCapacity(cold, plan.concurrency(), memoryTokens);
+        VersionCapacity capacity = new VersionCapacity(plan.coldConcurrency(), plan.concurrency(), memoryTokens);
         return new ServiceDocument(name, kind, VERSION, Map.of(VERSION, capacity, NEXT_VERSION, capacity), routes);
     }
 }
--- a/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedPlan.java
+++ b/daemon/src/main/java/coriandersill/daemon/embedded/EmbeddedPlan.java
@@ -14,6 +14,7 @@
  * @param plainDelay how long the plain service takes for a call
  * @param concurrency running requests that a warm engine bears
  * @param port the port of the first entry; 0 takes any free one
+ * @param coldConcurrency running requests that a cold engine bears
  */
 public record EmbeddedPlan(
         int zones,
@@ -23,7 +24,31 @@
         EngineSettings engine,
         Duration plainDelay,
         int concurrency,
-        int port) {
+        int port,
+        int coldConcurrency) {
+    private static final int USUAL_COLD_CONCURRENCY = 8;
+
+    /** Creates a set whose cold engines bear eight running requests, or fewer when warm ones do. */
+    public EmbeddedPlan(
+            int zones,
+            int entries,
+            int engines,
+            int plainUpstreams,
+            EngineSettings engine,
+            Duration plainDelay,
+            int concurrency,
+            int port) {
+        this(
+                zones,
+                entries,
+                engines,
+                plainUpstreams,
+                engine,
+                plainDelay,
+                concurrency,
+                port,
+                Math.min(USUAL_COLD_CONCURRENCY, concurrency));
+    }
 
     /** Returns a small set: two zones, two entries, two engines and one plain upstream. */
     public static EmbeddedPlan small() {
@@ -49,4 +74,10 @@
     public EmbeddedPlan withConcurrency(int other) {
         return new EmbeddedPlan(zones, entries, engines, plainUpstreams, engine, plainDelay, other, port);
     }
+
+    /** Returns the same set with engines that bear their full number from the start. */
+    public EmbeddedPlan warm() {
+        return new EmbeddedPlan(
+                zones, entries, engines, plainUpstreams, engine, plainDelay, concurrency, port, concurrency);
+    }
 }
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
@@ -0,0 +1,97 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.events.EventCode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Rules that hold over the whole source tree. */
+final class SourceRulesTest {
+    private static final Path ROOT = root();
+    private static final Pattern CLOCK_OR_CHANCE =
+            Pattern.compile("System\\.(nanoTime|currentTimeMillis)|Instant\\.now\\("
+                    + "|Math\\.random|new Random\\(|ThreadLocalRandom|new SecureRandom");
+    private static final Pattern IMPORT =
+            Pattern.compile("^import (?:static )?([a-z]+(?:\\.[a-z]+)*)", Pattern.MULTILINE);
+
+    private static Path root() {
+        Path here = Path.of(System.getProperty("user.dir"));
+        return Files.isDirectory(here.resolve("functional")) ? here : here.getParent();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "configuration",
+                "membership",
+                "leases",
+                "idempotency",
+                "routing",
+                "admission",
+                "quota",
+                "rollout"
+            })
+    void aDecisionLibraryDependsOnCoreAndTheJdkOnlyAndReadsNoClockOfItsOwn(String module) throws IOException {
+        List<String> offences = new ArrayList<>();
+        for (Path file : sources(ROOT.resolve(module).resolve("src/main/java"))) {
+            String text = Files.readString(file);
+            Matcher imports = IMPORT.matcher(text);
+            while (imports.find()) {
+                String name = imports.group(1);
+                boolean allowed = name.startsWith("java.")
+                        || name.startsWith("coriandersill.core")
+                        || name.startsWith("coriandersill." + module);
+                if (!allowed) {
+                    offences.add(file.getFileName() + " imports " + name);
+                }
+            }
+            if (CLOCK_OR_CHANCE.matcher(text).find()) {
+                offences.add(file.getFileName() + " reads a clock or a random source that it was not given");
+            }
+        }
+        assertThat(offences, is(empty()));
+    }
+
+    @Test
+    void theCatalogueOfEventsInTheDocsIsThatOfTheCode() throws IOException {
+        List<String> documented = Files.readAllLines(ROOT.resolve("docs/EVENTS.md")).stream()
+                .filter(line -> line.matches("\\| [0-9]+ \\|.*"))
+                .map(line -> Arrays.stream(line.split("\\|")).map(String::trim).toList())
+                .map(cells -> cells.get(1) + " " + cells.get(2) + " " + cells.get(3) + " " + cells.get(4))
+                .toList();
+        List<String> coded = Arrays.stream(EventCode.values())
+                .map(code -> code.number() + " " + code.name() + " " + code.level() + " " + code.text())
+                .toList();
+        assertThat(documented, is(coded));
+    }
+
+    @Test
+    void noTwoEventsShareANumber() {
+        long distinct = Arrays.stream(EventCode.values())
+                .map(EventCode::number)
+                .distinct()
+                .count();
+        assertThat(distinct, is((long) EventCode.values().length));
+    }
+
+    private static List<Path> sources(Path directory) throws IOException {
+        try (Stream<Path> files = Files.walk(directory)) {
+            return files.filter(file -> file.toString().endsWith(".java"))
+                    .filter(file -> !file.endsWith("package-info.java"))
+                    .toList();
+        }
+    }
+}
--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/ZoneAndRolloutTest.java
@@ -0,0 +1,115 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.cli.Tool;
+import coriandersill.core.VersionName;
+import coriandersill.daemon.embedded.EmbeddedPlan;
+import coriandersill.daemon.embedded.EmbeddedSet;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.json.JsonArray;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS V8 and the operator's side of a rollout, through whole daemons and the tool. */
+final class ZoneAndRolloutTest {
+    private static final EmbeddedSet SET = EmbeddedSet.create(EmbeddedPlan.small());
+    private static CallerClient caller;
+
+    private record Told(int status, String text) {}
+
+    @BeforeAll
+    static void start() {
+        SET.start().join();
+        SET.addEngine(2, VersionName.of("v2")).join();
+        SET.ready().join();
+        caller = new CallerClient(SET.apiKey(), HttpVersion.HTTP_1_1);
+    }
+
+    @AfterAll
+    static void stop() {
+        caller.close();
+        SET.stop(Duration.ofSeconds(1)).join();
+    }
+
+    private static Told tool(String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.addAll(List.of("--platform", "127.0.0.1:" + SET.platformPort()));
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream print = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        int status = Tool.run(print, print, all.toArray(String[]::new));
+        return new Told(status, bytes.toString(StandardCharsets.UTF_8));
+    }
+
+    private static long startedAt(int engine) {
+        return SET.engines().get(engine).books().started();
+    }
+
+    private static void assertServes(int calls) {
+        for (int i = 0; i < calls; i++) {
+            assertThat(
+                    caller.stream(SET.entryPort(i % 2), "scribe", 5)
+                            .join()
+                            .texts()
+                            .size(),
+                    is(5));
+        }
+    }
+
+    @Test
+    void aZoneThatIsTakenOutGetsNoNewWorkKeepsItsRunningWorkAndComesBack() {
+        CompletableFuture<CallerClient.Streamed> running = caller.stream(SET.entryPort(0), "scribe", 600);
+        Await.until(() -> SET.engines().get(0).books().running()
+                        + SET.engines().get(1).books().running()
+                > 0);
+        Told out = tool("zone", "out", "zone-b", "--reason", "maintenance", "--wait");
+        assertThat(out.text(), out.status(), is(0));
+        assertThat(out.text(), containsString("in force"));
+        long before = startedAt(1);
+        assertServes(20);
+        assertThat("calls begun in the zone after it was out", startedAt(1) - before, is(0L));
+        assertThat(running.join().texts().size(), is(600));
+        assertThat(tool("zone", "out", "zone-b").text(), containsString("nothing differs"));
+        assertThat(tool("zone", "in", "zone-b", "--wait").status(), is(0));
+        Await.until(() -> {
+            assertServes(10);
+            return startedAt(1) > before;
+        });
+        Told status = tool("zone", "status", "--json");
+        assertThat(new JsonArray(status.text()).size(), is(2));
+    }
+
+    @Test
+    void aRolloutIsDeclaredRecordedOnceAndWithdrawnByItsOperator() {
+        Told started = tool("rollout", "start", "scribe", "--to", "v2", "--within", "PT1H", "--first-share", "0.01");
+        assertThat(started.text(), started.status(), is(0));
+        Await.until(() -> tool("rollout", "status", "scribe").text().contains("DECLARED"));
+        assertThat(tool("rollout", "start", "scribe", "--to", "none").status(), is(2));
+        Told back = tool("rollout", "rollback", "scribe", "--reason", "changed our mind");
+        assertThat(back.text(), back.status(), is(0));
+        Await.until(() -> tool("rollout", "status", "scribe").text().contains("ROLLED_BACK"));
+        String told = tool("rollout", "status", "scribe").text();
+        assertThat(told, told.split("ROLLED_BACK", -1).length - 1, is(1));
+        assertThat(tool("config", "history").text(), containsString("changed our mind"));
+        assertServes(4);
+    }
+
+    @Test
+    void anUnknownZoneAndAWrongDirectoryAreToldByTheirExitCode() {
+        assertThat(tool("zone", "out", "nowhere").status(), is(2));
+        assertThat(tool("config", "validate", "no/such/directory").status(), is(2));
+        assertThat(tool("upstreams").text(), containsString("scribe"));
+        assertThat(tool("workspaces").text(), containsString("quickstart"));
+        assertThat(tool("events", "402").text(), containsString("OUTCOME_UNKNOWN"));
+    }
+}
