--- a/bench/src/main/java/coriandersill/bench/path/PathOverhead.java
+++ b/bench/src/main/java/coriandersill/bench/path/PathOverhead.java
@@ -25,7 +25,7 @@
     /** Runs the comparison and prints a table. */
     @SuppressWarnings("SystemOut")
     public static void main(String[] arguments) {
-        Logger.getLogger("").setLevel(Level.WARNING);
+        Logger.getLogger("").setLevel(Level.SEVERE);
         PrintStream out = System.out;
         int[] streams = arguments.length == 0 ? new int[] {1, 100, 2_000} : parse(arguments);
         EngineSettings engine = EngineSettings.fast().withIteration(Duration.ofMillis(STEP_MILLIS));
--- a/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
@@ -127,7 +127,8 @@
         write(
                 "services/ledger",
                 "{\"kind\":\"plain\",\"current\":\"v1\",\"versions\":" + String.format(capacity, 0)
-                        + ",\"routes\":[{\"name\":\"lookup\",\"method\":\"GET\",\"pathPrefix\":\"/\",\"repeatable\":true},"
+                        + ",\"routes\":[{\"name\":\"lookup\","
+                        + "\"method\":\"GET\",\"pathPrefix\":\"/\",\"repeatable\":true},"
                         + "{\"name\":\"change\",\"method\":\"*\",\"pathPrefix\":\"/\",\"repeatable\":false}]}");
         ApiKeyHash hash = ApiKeyHash.of(KEY, "salt");
         write(
