--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/capacity/Slopes.java
@@ -0,0 +1,146 @@
+package coriandersill.bench.capacity;
+
+import com.sun.management.OperatingSystemMXBean;
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.InstanceId;
+import coriandersill.wire.Message;
+import coriandersill.wire.PeerIdentity;
+import coriandersill.wire.WireConnection;
+import coriandersill.wire.WireLink;
+import coriandersill.wire.WireListener;
+import coriandersill.wire.WireLoops;
+import coriandersill.wire.WireServer;
+import coriandersill.wire.WireSettings;
+import coriandersill.wire.proto.Frames;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Prints the bytes of a ping, and the memory and processor time that connections and pings take. */
+public final class Slopes {
+    private static final int CONNECTIONS = 1_000;
+    private static final int ROUNDS = 50;
+    private static final int LENGTH_FIELD_BYTES = 4;
+
+    private Slopes() {}
+
+    /** Runs the measurements and prints one JSON object. */
+    @SuppressWarnings("SystemOut")
+    public static void main(String[] arguments) {
+        PrintStream out = System.out;
+        out.println("{");
+        out.println("  \"ping_bytes_sidecar\": " + pingBytes(true) + ",");
+        out.println("  \"ping_bytes_entry\": " + pingBytes(false) + ",");
+        connections(out);
+        out.println("}");
+        System.exit(0);
+    }
+
+    private static int pingBytes(boolean sidecar) {
+        Frames.Ping.Builder ping =
+                Frames.Ping.newBuilder().setSequence(1_000_000).setConfigurationOffset(50_000_000);
+        if (sidecar) {
+            ping.setLoad(Frames.Load.newBuilder()
+                            .setRunning(40)
+                            .setWaiting(12)
+                            .setLimit(64)
+                            .setReservedTokens(150_000)
+                            .setMemoryTokens(200_000))
+                    .setStamp(Frames.Stamp.newBuilder().setEpoch(-1L).setSequence(100_000_000));
+        }
+        return LENGTH_FIELD_BYTES
+                + Frames.Frame.newBuilder().setPing(ping).build().getSerializedSize();
+    }
+
+    private static void connections(PrintStream out) {
+        WireLoops loops = WireLoops.of(2);
+        Collector accepted = new Collector();
+        WireServer server = WireServer.create(settings("server"), loops, "127.0.0.1", 0, accepted);
+        server.start().join();
+        long before = usedHeap();
+        Collector opened = new Collector();
+        List<WireLink> links = new ArrayList<>();
+        for (int i = 0; i < CONNECTIONS; i++) {
+            WireLink link = WireLink.create(
+                    settings("client-" + i), loops, "127.0.0.1", server.port(), opened, new SecureRandom());
+            links.add(link);
+            link.start();
+        }
+        await(() -> accepted.connections.size() == CONNECTIONS && opened.connections.size() == CONNECTIONS);
+        long perEnd = (usedHeap() - before) / (2L * CONNECTIONS);
+        long cpu = cpuNanos();
+        for (int round = 0; round < ROUNDS; round++) {
+            Message ping = new Message.Ping(
+                    round,
+                    50_000_000,
+                    Optional.of(new Message.Load(40, 12, 64, false, 150_000, 200_000)),
+                    Optional.of(new Message.Stamp(-1, 100_000_000)),
+                    false);
+            accepted.connections.forEach(connection -> connection.send(ping));
+            long expected = (round + 1L) * CONNECTIONS;
+            await(() -> opened.received.get() >= expected);
+        }
+        double microsPerPing = (cpuNanos() - cpu) / 1e3 / ((double) ROUNDS * CONNECTIONS);
+        out.println("  \"heap_bytes_per_connection_end\": " + perEnd + ",");
+        out.println(String.format(Locale.ROOT, "  \"cpu_micros_per_ping_both_ends\": %.1f", microsPerPing));
+        links.forEach(link -> link.stop(Duration.ZERO));
+    }
+
+    private static WireSettings settings(String name) {
+        WireSettings usual = WireSettings.of(
+                new PeerIdentity(InstanceId.of(name), 1, "entry", AvailabilityZone.of("zone-a"), "", ""));
+        return new WireSettings(
+                usual.self(), usual.maxFrameBytes(), usual.pingInterval(), Duration.ofMinutes(10), Optional.empty());
+    }
+
+    private static long usedHeap() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    private static long cpuNanos() {
+        return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
+    }
+
+    private static void await(java.util.function.BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            new CompletableFuture<Void>()
+                    .completeOnTimeout(null, 1, TimeUnit.MILLISECONDS)
+                    .join();
+        }
+    }
+
+    /** Collects connections and counts messages. */
+    private static final class Collector implements WireListener {
+        private final Set<WireConnection> connections = ConcurrentHashMap.newKeySet();
+        private final AtomicLong received = new AtomicLong();
+
+        @Override
+        public void connected(WireConnection connection) {
+            connections.add(connection);
+        }
+
+        @Override
+        public void received(WireConnection connection, Message message) {
+            received.incrementAndGet();
+        }
+
+        @Override
+        public void disconnected(WireConnection connection) {
+            connections.remove(connection);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the slopes that docs/CAPACITY.md works with. */
+package coriandersill.bench.capacity;
--- /dev/null
+++ b/bench/src/main/java/coriandersill/bench/path/IdleStreams.java
@@ -0,0 +1,68 @@
+package coriandersill.bench.path;
+
+import coriandersill.daemon.embedded.EmbeddedPlan;
+import coriandersill.daemon.embedded.EmbeddedSet;
+import coriandersill.standins.engine.EngineSettings;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.json.JsonObject;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Opens streams whose engines give no token and prints the heap that each takes in the whole process: entry, sidecar,
+ * engine stand-in and caller together, so that it is an upper bound for each.
+ */
+public final class IdleStreams {
+    private static final int STREAMS = 2_000;
+    private static final int TOKENS = 1_000;
+
+    private IdleStreams() {}
+
+    /** Runs the measurement and prints one line. */
+    @SuppressWarnings("SystemOut")
+    public static void main(String[] arguments) {
+        Logger.getLogger("").setLevel(Level.SEVERE);
+        PrintStream out = System.out;
+        EngineSettings engine = EngineSettings.fast().withIteration(Duration.ofMinutes(5));
+        EmbeddedSet set =
+                EmbeddedSet.create(new EmbeddedPlan(3, 2, 8, 1, engine, Duration.ofMillis(2), 4_000, 0).warm());
+        set.start().join();
+        set.ready().join();
+        Vertx vertx = Vertx.vertx();
+        HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(STREAMS));
+        JsonObject body = new JsonObject()
+                .put("model", "scribe")
+                .put("prompt", "x")
+                .put("max_tokens", TOKENS)
+                .put("stream", true);
+        long before = usedHeap();
+        for (int i = 0; i < STREAMS; i++) {
+            client.request(HttpMethod.POST, set.entryPort(i % 2), "127.0.0.1", "/v1/completions")
+                    .compose(request -> request.putHeader("Authorization", "Bearer " + set.apiKey())
+                            .send(body.toBuffer()))
+                    .onSuccess(response -> response.handler(part -> {}));
+        }
+        while (set.engines().stream().mapToInt(one -> one.books().running()).sum() < STREAMS) {
+            new CompletableFuture<Void>()
+                    .completeOnTimeout(null, 50, TimeUnit.MILLISECONDS)
+                    .join();
+        }
+        out.println("heap_bytes_per_idle_stream_whole_path: " + (usedHeap() - before) / STREAMS);
+        System.exit(0);
+    }
+
+    private static long usedHeap() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
