Resume at the exact token, and end a stream without spending credit

Cause: two faults found by tests at the sidecar's wire. Ruled out: the kept tokens themselves (all were there). The move now happens on the call's own context, with the resending. (2) A stream whose credit ended with its last token never told its end: reading was paused before the end marker. One token is now held instead, and the end needs no credit.

--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/SidecarWireTest.java
@@ -0,0 +1,222 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.admission.FixedLimitAdmission;
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.GenerationId;
+import coriandersill.core.InstanceId;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.sidecar.Sidecar;
+import coriandersill.sidecar.SidecarSettings;
+import coriandersill.standins.engine.EngineSettings;
+import coriandersill.standins.engine.EngineStandIn;
+import coriandersill.wire.Message;
+import coriandersill.wire.PeerIdentity;
+import coriandersill.wire.WireConnection;
+import coriandersill.wire.WireLink;
+import coriandersill.wire.WireListener;
+import coriandersill.wire.WireLoops;
+import coriandersill.wire.WireSettings;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** HAZARDS G2, G3 and G4 at a sidecar's wire: credit, resume after a lost connection, attempts that cross. */
+final class SidecarWireTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final WireLoops loops = WireLoops.of(1);
+    private final WorkerPool workers = WorkerPool.of("test", 2, 100);
+    private final EngineStandIn engine = EngineStandIn.create(vertx, "127.0.0.1", 0, EngineSettings.fast());
+    private final Message.CallAttempt call = new Message.CallAttempt(GenerationId.random(new Random(5)), 1);
+    private final List<Peer> peers = new ArrayList<>();
+    private Sidecar sidecar;
+
+    /** An entry as the sidecar sees it. */
+    private final class Peer implements WireListener {
+        private final List<Message> received = new CopyOnWriteArrayList<>();
+        private final WireLink link;
+        private volatile WireConnection connection;
+
+        Peer() {
+            link = WireLink.create(
+                    settings("entry", "entry-1"), loops, "127.0.0.1", sidecar.port(), this, new Random(1));
+            link.start();
+            peers.add(this);
+            Await.until(() -> connection != null);
+        }
+
+        @Override
+        public void connected(WireConnection open) {
+            connection = open;
+        }
+
+        @Override
+        public void received(WireConnection open, Message message) {
+            if (message instanceof Message.OfCall) {
+                received.add(message);
+            }
+        }
+
+        @Override
+        public void disconnected(WireConnection open) {
+            connection = null;
+        }
+
+        long tokens() {
+            return received.stream()
+                    .filter(Message.Tokens.class::isInstance)
+                    .mapToLong(message -> ((Message.Tokens) message).payloads().size())
+                    .sum();
+        }
+
+        long firstIndex() {
+            return received.stream()
+                    .filter(Message.Tokens.class::isInstance)
+                    .mapToLong(message -> ((Message.Tokens) message).firstIndex())
+                    .findFirst()
+                    .orElse(-1);
+        }
+
+        Message last() {
+            return received.get(received.size() - 1);
+        }
+    }
+
+    private static WireSettings settings(String role, String name) {
+        boolean isSidecar = role.equals("sidecar");
+        return WireSettings.of(new PeerIdentity(
+                InstanceId.of(name),
+                1,
+                role,
+                AvailabilityZone.of("zone-a"),
+                isSidecar ? "scribe" : "",
+                isSidecar ? "v1" : ""));
+    }
+
+    @BeforeEach
+    void start() {
+        engine.start().join();
+        SidecarSettings settings = new SidecarSettings(
+                settings("sidecar", "sidecar-1"),
+                "127.0.0.1",
+                0,
+                ServiceName.of("scribe"),
+                VersionName.of("v1"),
+                "127.0.0.1",
+                engine.port(),
+                Duration.ofSeconds(30));
+        sidecar = Sidecar.builder(settings, vertx, loops, workers)
+                .admission(FixedLimitAdmission.of(4))
+                .build();
+        sidecar.start().join();
+    }
+
+    @AfterEach
+    void stop() {
+        peers.forEach(peer -> peer.link.stop(Duration.ZERO));
+        sidecar.stop(Duration.ofMillis(100)).join();
+        loops.stop(Duration.ofMillis(100)).join();
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+        workers.stop(Duration.ZERO);
+    }
+
+    private Message.Dispatch dispatch(int tokens, int credit) {
+        byte[] body = ("{\"max_tokens\":" + tokens + "}").getBytes(StandardCharsets.UTF_8);
+        return new Message.Dispatch(
+                call,
+                new Message.Target("north", 1, "scribe", "v1", "completions", 0),
+                Duration.ofSeconds(20),
+                1,
+                tokens,
+                credit,
+                new Message.Work(true, "POST", "/v1/completions", List.of(), body),
+                Optional.empty());
+    }
+
+    @Test
+    void noMoreTokensComeThanCreditWasGranted() {
+        Peer entry = new Peer();
+        entry.connection.send(dispatch(100, 10));
+        Await.until(() -> entry.tokens() >= 10);
+        Message.CallAttempt other = new Message.CallAttempt(GenerationId.random(new Random(6)), 1);
+        Message.Dispatch all = dispatch(40, 200);
+        entry.connection.send(
+                new Message.Dispatch(other, all.target(), all.remaining(), 1, 40, 200, all.work(), Optional.empty()));
+        Await.until(() -> entry.last() instanceof Message.Finished);
+        assertThat("tokens of both calls", entry.tokens(), is(50L));
+        entry.connection.send(new Message.Credit(call, 90));
+        Await.until(() -> entry.last() instanceof Message.Finished finished
+                && finished.call().equals(call));
+        assertThat("tokens of both calls", entry.tokens(), is(140L));
+    }
+
+    @Test
+    void aGenerationWhoseConnectionWasLostGoesOnAtTheExactTokenOverAnother() {
+        Peer first = new Peer();
+        first.connection.send(dispatch(120, 200));
+        Await.until(() -> first.tokens() >= 30);
+        first.link.stop(Duration.ZERO);
+        Await.until(() -> first.connection == null);
+        long delivered = first.tokens();
+        Peer second = new Peer();
+        second.connection.send(new Message.Resume(call, delivered, 200));
+        Await.until(() -> !second.received.isEmpty() && second.last() instanceof Message.Finished);
+        assertThat(second.firstIndex(), is(delivered));
+        assertThat(delivered + second.tokens(), is(120L));
+        assertThat(engine.books().started(), is(1L));
+    }
+
+    @Test
+    void aResumeOfAGenerationThatIsNotKeptEndsItClearly() {
+        Peer entry = new Peer();
+        entry.connection.send(new Message.Resume(call, 7, 100));
+        Await.until(() -> !entry.received.isEmpty());
+        assertThat(entry.last(), instanceOf(Message.Failed.class));
+        assertThat(((Message.Failed) entry.last()).kind(), is(ErrorKind.GENERATION_INTERRUPTED));
+    }
+
+    @Test
+    void aCancelThatFollowsItsDispatchAtOnceIsNeverOvertakenByIt() {
+        Peer entry = new Peer();
+        for (int i = 0; i < 50; i++) {
+            Message.CallAttempt one = new Message.CallAttempt(GenerationId.random(new Random(i)), 1);
+            Message.Dispatch all = dispatch(100_000, 200);
+            entry.connection.send(
+                    new Message.Dispatch(one, all.target(), all.remaining(), 1, 1, 200, all.work(), Optional.empty()));
+            entry.connection.send(new Message.Cancel(one));
+        }
+        Await.until(() -> sidecar.idle() && engine.books().running() == 0);
+        assertThat(sidecar.admission().load().running(), is(0));
+    }
+
+    @Test
+    void aSecondAttemptAtACallThatIsOpenHereIsRefusedAsFenced() {
+        Peer entry = new Peer();
+        entry.connection.send(dispatch(1_000, 5));
+        Await.until(() -> entry.tokens() > 0);
+        entry.connection.send(dispatch(1_000, 5));
+        Await.until(() -> entry.received.stream().anyMatch(Message.Refused.class::isInstance));
+        List<ErrorKind> kinds = entry.received.stream()
+                .filter(Message.Refused.class::isInstance)
+                .map(message -> ((Message.Refused) message).kind())
+                .toList();
+        assertThat(kinds, is(List.of(ErrorKind.FENCED)));
+        assertThat(engine.books().tokens(), greaterThan(0L));
+        assertThat(engine.books().started(), is(1L));
+    }
+}
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/Gate.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/Gate.java
@@ -216,9 +216,8 @@
 
     void resume(WireConnection connection, Message.Resume resume) {
         Optional<OpenCall> found = calls.find(resume.call());
-        found.ifPresent(call -> call.moveTo(connection));
         boolean resumed = found.flatMap(OpenCall::run)
-                .map(run -> run.resume(resume.nextIndex(), resume.credit()))
+                .map(run -> run.resume(connection, resume.nextIndex(), resume.credit()))
                 .orElse(false);
         if (!resumed) {
             connection.send(new Message.Failed(
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationRun.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationRun.java
@@ -4,6 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.wire.Message;
+import coriandersill.wire.WireConnection;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -47,6 +48,7 @@
     private boolean ended;
     private boolean bodySent;
     private Optional<Message> last = Optional.empty();
+    private Optional<byte[]> held = Optional.empty();
     private HttpClientRequest request;
     private RecordParser events;
 
@@ -116,7 +118,17 @@
         if (Arrays.equals(payload, DONE)) {
             end(new Message.Finished(call.attempt(), sent), true);
         } else {
+            offer(payload);
+        }
+    }
+
+    /** Sends a token, or holds it until there is credit; the end of the stream needs none. */
+    private void offer(byte[] payload) {
+        if (credit > 0) {
             sendToken(payload);
+        } else {
+            held = Optional.of(payload);
+            events.pause();
         }
     }
 
@@ -129,9 +141,6 @@
         call.send(new Message.Tokens(call.attempt(), sent, List.of(payload)));
         sent++;
         credit--;
-        if (credit <= 0) {
-            events.pause();
-        }
     }
 
     @Override
@@ -145,16 +154,21 @@
     }
 
     private void allow(int tokens) {
-        boolean paused = credit <= 0;
         credit += tokens;
-        if (paused && credit > 0 && events != null && !ended) {
+        if (credit > 0 && held.isPresent() && !ended) {
+            byte[] payload = held.get();
+            held = Optional.empty();
+            sendToken(payload);
             events.resume();
         }
     }
 
     @Override
-    public boolean resume(long nextIndex, int granted) {
-        context.runOnContext(now -> resend(nextIndex, granted));
+    public boolean resume(WireConnection connection, long nextIndex, int granted) {
+        context.runOnContext(now -> {
+            call.moveTo(connection);
+            resend(nextIndex, granted);
+        });
         return true;
     }
 
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainRun.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainRun.java
@@ -4,6 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.wire.Message;
+import coriandersill.wire.WireConnection;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -139,7 +140,7 @@
     }
 
     @Override
-    public boolean resume(long nextIndex, int credit) {
+    public boolean resume(WireConnection connection, long nextIndex, int credit) {
         return false;
     }
 }
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamRun.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamRun.java
@@ -1,5 +1,7 @@
 package coriandersill.sidecar.internal;
 
+import coriandersill.wire.WireConnection;
+
 /** A call that is at the upstream. */
 interface UpstreamRun {
 
@@ -9,6 +11,6 @@
     /** Allows that many more tokens. */
     void credit(int tokens);
 
-    /** Sends again from a token on, over the call's present connection; false if the token is no longer kept. */
-    boolean resume(long nextIndex, int credit);
+    /** Moves the call to a connection and sends again from a token on; false if this kind of call cannot be resumed. */
+    boolean resume(WireConnection connection, long nextIndex, int credit);
 }
