--- a/daemon/src/main/java/coriandersill/daemon/Quickstart.java
+++ b/daemon/src/main/java/coriandersill/daemon/Quickstart.java
@@ -2,6 +2,7 @@
 
 import coriandersill.daemon.embedded.EmbeddedPlan;
 import coriandersill.daemon.embedded.EmbeddedSet;
+import coriandersill.idempotency.IdempotencyKey;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -9,7 +10,9 @@
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
 import java.io.PrintStream;
+import java.security.SecureRandom;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -27,7 +30,7 @@
     public static void main(String[] arguments) throws InterruptedException {
         boolean once = List.of(arguments).contains("--once");
         PrintStream out = System.out;
-        Logger.getLogger("").setLevel(Level.WARNING);
+        Logger.getLogger("").setLevel(Level.SEVERE);
         EmbeddedSet set = EmbeddedSet.create(EmbeddedPlan.small().withPort(once ? 0 : PORT));
         set.start().join();
         set.ready().join();
@@ -39,16 +42,27 @@
             set.stop(Duration.ofSeconds(2)).join();
             return;
         }
-        out.println("Call it yourself:");
-        out.println("  curl -N http://127.0.0.1:" + set.entryPort(0) + "/v1/completions -H 'Authorization: Bearer "
-                + set.apiKey()
-                + "' -d '{\"model\":\"scribe\",\"prompt\":\"hello\",\"max_tokens\":20,\"stream\":true}'");
+        printCommands(set, out);
         out.println("End it with Ctrl-C.");
         Runtime.getRuntime().addShutdownHook(new Thread(() -> set.stop(Duration.ofSeconds(2))
                 .join()));
         new CountDownLatch(1).await();
     }
 
+    private static void printCommands(EmbeddedSet set, PrintStream out) {
+        String entry = "http://127.0.0.1:" + set.entryPort(0);
+        String header = " -H 'Authorization: Bearer " + set.apiKey() + "'";
+        String key = IdempotencyKey.draw(Instant.now(), new SecureRandom()).toString();
+        out.println("Call it yourself; the booking runs once, however often its line is repeated:");
+        out.println("  curl -N " + entry + "/v1/completions" + header
+                + " -d '{\"model\":\"scribe\",\"prompt\":\"hello\",\"max_tokens\":20,\"stream\":true}'");
+        out.println("  curl " + entry + "/services/ledger/orders/7" + header);
+        out.println("  curl " + entry + "/services/ledger/bookings" + header + " -H 'Idempotency-Key: " + key
+                + "' -d '{\"crier\":1}'");
+        out.println("Look at it as an operator:");
+        out.println("  bin/coriandersill upstreams --platform 127.0.0.1:" + set.platformPort());
+    }
+
     private static CompletableFuture<Long> generate(EmbeddedSet set, PrintStream out) {
         CompletableFuture<Long> done = new CompletableFuture<>();
         Vertx vertx = Vertx.vertx();
--- /dev/null
+++ b/examples/src/main/java/coriandersill/examples/admission/package-info.java
@@ -0,0 +1,2 @@
+/** A program that embeds admission without a daemon. */
+package coriandersill.examples.admission;
