--- a/cli/src/main/java/coriandersill/cli/internal/RolloutCommands.java
+++ b/cli/src/main/java/coriandersill/cli/internal/RolloutCommands.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
 /** The commands of the group {@code rollout}. */
@@ -134,22 +135,29 @@
         ExitCode run(Session session, Output output) {
             DocumentName name = DocumentName.of(DocumentKind.ROLLOUT, service);
             long declaredAt = session.state().version(name);
-            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(timeoutSeconds());
-            while (System.nanoTime() - deadline < 0) {
-                Optional<ObjectNode> verdict = verdict(transitions(session, service), declaredAt);
-                if (verdict.isPresent()) {
-                    String phase = verdict.get().path("phase").asText();
-                    output.result(
-                            verdict.get(),
-                            phase + ": " + verdict.get().path("evidence").asText());
-                    return phase.equals("DONE") ? ExitCode.OK : ExitCode.ROLLED_BACK;
-                }
-                new CompletableFuture<Void>()
-                        .completeOnTimeout(null, POLL_MILLIS, TimeUnit.MILLISECONDS)
-                        .join();
+            Duration patience = Duration.ofSeconds(timeoutSeconds());
+            Optional<ObjectNode> verdict = awaitVerdict(session, declaredAt, System.nanoTime() + patience.toNanos())
+                    .join();
+            if (verdict.isEmpty()) {
+                output.failure("no verdict on " + service + " within " + timeoutSeconds() + " s");
+                return ExitCode.TIMED_OUT;
+            }
+            String phase = verdict.get().path("phase").asText();
+            output.result(
+                    verdict.get(), phase + ": " + verdict.get().path("evidence").asText());
+            return phase.equals("DONE") ? ExitCode.OK : ExitCode.ROLLED_BACK;
+        }
+
+        /** Reads the log again and again, on timers, until the verdict is there or the deadline has passed. */
+        private CompletableFuture<Optional<ObjectNode>> awaitVerdict(
+                Session session, long declaredAt, long deadlineNanos) {
+            Optional<ObjectNode> found = verdict(transitions(session, service), declaredAt);
+            if (found.isPresent() || System.nanoTime() - deadlineNanos >= 0) {
+                return CompletableFuture.completedFuture(found);
             }
-            output.failure("no verdict on " + service + " within " + timeoutSeconds() + " s");
-            return ExitCode.TIMED_OUT;
+            Executor later = CompletableFuture.delayedExecutor(POLL_MILLIS, TimeUnit.MILLISECONDS);
+            return CompletableFuture.completedFuture(found)
+                    .thenComposeAsync(none -> awaitVerdict(session, declaredAt, deadlineNanos), later);
         }
     }
 
--- a/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
@@ -283,8 +283,7 @@
     @Order(5)
     void aPlannedStopOfAnEntryCutsNoStream() {
         List<CompletableFuture<CallerClient.Streamed>> calls = new ArrayList<>();
-        long before =
-                books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started");
+        int before = books(ENGINES[0]).getInteger("started") + books(ENGINES[1]).getInteger("started");
         for (int i = 0; i < 6; i++) {
             calls.add(caller.stream(HTTP[0], "scribe", 400));
         }
