Put a sidecar into service with its first ping, sent as soon as it is connected

Ruled out: the claims (they were won and released). Change: both ends ping at once when a connection opens, and a member is live from its first ping.

--- a/entry/src/main/java/coriandersill/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/coriandersill/entry/internal/SidecarLinks.java
@@ -108,14 +108,18 @@
     }
 
     private void ping() {
-        Message ping = new Message.Ping(
+        Message ping = pingMessage();
+        connections.forEach(connection -> connection.send(ping));
+        entry.workers().executeOrRun(this::tick);
+    }
+
+    private Message pingMessage() {
+        return new Message.Ping(
                 pingSequence.incrementAndGet(),
                 entry.position().getAsLong(),
                 Optional.empty(),
                 Optional.empty(),
                 calls.draining());
-        connections.forEach(connection -> connection.send(ping));
-        entry.workers().executeOrRun(this::tick);
     }
 
     private void poll() {
@@ -284,6 +288,7 @@
         @Override
         public void connected(WireConnection connection) {
             connections.add(connection);
+            connection.send(pingMessage());
             peerMessages.ifPresent(listener -> listener.connected(connection));
         }
 
@@ -304,9 +309,8 @@
         @Override
         public void connected(WireConnection connection) {
             connections.add(connection);
+            connection.send(pingMessage());
             directory.connected(connection);
-            PeerIdentity peer = connection.peer();
-            entry.workers().executeOrRun(() -> changed(members.connected(member(peer), peer.incarnation())));
             calls.connected(connection);
             peerMessages.ifPresent(listener -> listener.connected(connection));
             entry.events().record(EventCode.PEER_CONNECTED, Map.of("peer", connection));
@@ -324,11 +328,12 @@
             peerMessages.ifPresent(listener -> listener.received(connection, message));
         }
 
+        /** A peer is in service from its first ping on, which carries its stamp and whether it drains. */
         private void pinged(WireConnection connection, Message.Ping ping) {
             PeerIdentity peer = connection.peer();
             entry.workers().executeOrRun(() -> {
                 directory.pinged(connection, ping);
-                changed(members.heard(peer.instance(), peer.incarnation()));
+                changed(members.connected(member(peer), peer.incarnation()));
                 if (ping.draining()) {
                     changed(members.draining(peer.instance(), peer.incarnation()));
                 }
--- a/sidecar/src/main/java/coriandersill/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/Sidecar.java
@@ -68,7 +68,7 @@
         this.calls = CallTable.create();
         this.upstream = UpstreamClient.create(vertx, settings);
         this.gate = Gate.create(builder.context(), calls, upstream);
-        this.listener = SidecarListener.create(gate, builder.peerMessages);
+        this.listener = SidecarListener.create(gate, builder.peerMessages, this::pingMessage);
         this.server = WireServer.create(settings.wire(), builder.loops, settings.host(), settings.port(), listener);
     }
 
@@ -143,8 +143,12 @@
     }
 
     private void ping() {
+        broadcast(pingMessage());
+    }
+
+    private Message pingMessage() {
         UpstreamLoad load = admission.load();
-        Message ping = new Message.Ping(
+        return new Message.Ping(
                 pingSequence.incrementAndGet(),
                 pings.configurationOffset(),
                 Optional.of(new Message.Load(
@@ -156,7 +160,6 @@
                         load.memoryTokens())),
                 pings.stamp(),
                 gate.draining());
-        broadcast(ping);
     }
 
     /** Collects the parts of a {@link Sidecar}; what is not set has a default that does nothing. */
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/SidecarListener.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/SidecarListener.java
@@ -6,21 +6,24 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 
 /** Passes messages about calls to the gate, and all others to whoever takes messages from peers. */
 public final class SidecarListener implements WireListener {
     private final Gate gate;
     private final Optional<WireListener> peerMessages;
+    private final Supplier<Message> ping;
     private final Set<WireConnection> connections = ConcurrentHashMap.newKeySet();
 
-    private SidecarListener(Gate gate, Optional<WireListener> peerMessages) {
+    private SidecarListener(Gate gate, Optional<WireListener> peerMessages, Supplier<Message> ping) {
         this.gate = gate;
         this.peerMessages = peerMessages;
+        this.ping = ping;
     }
 
-    /** Returns a listener before a gate. */
-    public static SidecarListener create(Gate gate, Optional<WireListener> peerMessages) {
-        return new SidecarListener(gate, peerMessages);
+    /** Returns a listener before a gate; each new connection gets a ping at once, so that its entry has a stamp. */
+    public static SidecarListener create(Gate gate, Optional<WireListener> peerMessages, Supplier<Message> ping) {
+        return new SidecarListener(gate, peerMessages, ping);
     }
 
     /** The open connections. */
@@ -31,6 +34,7 @@
     @Override
     public void connected(WireConnection connection) {
         connections.add(connection);
+        connection.send(ping.get());
         peerMessages.ifPresent(listener -> listener.connected(connection));
     }
 
