--- a/configuration/src/main/java/coriandersill/configuration/RolloutDocument.java
+++ b/configuration/src/main/java/coriandersill/configuration/RolloutDocument.java
@@ -14,7 +14,7 @@
  * @param to the version that shall serve
  * @param deadline when the rollout is to be done
  * @param firstShare the share of traffic at the canary stage, above 0 and at most 1
- * @param probation how long the new version is watched after it has taken all traffic
+ * @param probation how long the new version is watched once it has all traffic but a control share
  * @param badness what counts as bad
  */
 public record RolloutDocument(
