Rename the modules of the shared log's interfaces, so that platform/ can become the adapter

Cause: the users ask for one small folder platform/ that only translates; the module of that name held the product's own interfaces of a shared log and an instance list. Ruled out: a second folder of another name for the adapter; the users name the folder. Change: platform -> shared-log, platform-http -> shared-log-http, packages and pages with them; no behaviour changes.

--- a/cli/src/main/java/coriandersill/cli/internal/Changes.java
+++ b/cli/src/main/java/coriandersill/cli/internal/Changes.java
@@ -7,7 +7,7 @@
 import coriandersill.configuration.Problem;
 import coriandersill.configuration.Verdict;
 import coriandersill.configuration.log.ApplyResult;
-import coriandersill.platform.ListedInstance;
+import coriandersill.sharedlog.ListedInstance;
 import coriandersill.wire.Message;
 import java.time.Duration;
 import java.util.List;
--- a/cli/src/main/java/coriandersill/cli/internal/InspectCommands.java
+++ b/cli/src/main/java/coriandersill/cli/internal/InspectCommands.java
@@ -6,7 +6,7 @@
 import coriandersill.cli.ExitCode;
 import coriandersill.configuration.WorkspaceDocument;
 import coriandersill.events.EventCode;
-import coriandersill.platform.ListedInstance;
+import coriandersill.sharedlog.ListedInstance;
 import coriandersill.wire.Message;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
--- a/cli/src/main/java/coriandersill/cli/internal/InstanceProbe.java
+++ b/cli/src/main/java/coriandersill/cli/internal/InstanceProbe.java
@@ -2,7 +2,7 @@
 
 import coriandersill.core.AvailabilityZone;
 import coriandersill.core.InstanceId;
-import coriandersill.platform.ListedInstance;
+import coriandersill.sharedlog.ListedInstance;
 import coriandersill.wire.Message;
 import coriandersill.wire.PeerIdentity;
 import coriandersill.wire.WireConnection;
--- a/cli/src/main/java/coriandersill/cli/internal/ZoneCommands.java
+++ b/cli/src/main/java/coriandersill/cli/internal/ZoneCommands.java
@@ -10,7 +10,7 @@
 import coriandersill.configuration.ZoneDocument;
 import coriandersill.core.AvailabilityZone;
 import coriandersill.core.InstanceId;
-import coriandersill.platform.ListedInstance;
+import coriandersill.sharedlog.ListedInstance;
 import coriandersill.wire.Message;
 import java.time.Duration;
 import java.util.List;
--- a/configuration-log/src/main/java/coriandersill/configuration/log/CatchUp.java
+++ b/configuration-log/src/main/java/coriandersill/configuration/log/CatchUp.java
@@ -2,7 +2,7 @@
 
 import coriandersill.configuration.StateDigest;
 import coriandersill.core.MonotonicClock;
-import coriandersill.platform.LogFollower;
+import coriandersill.sharedlog.LogFollower;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
--- a/configuration-log/src/test/java/coriandersill/configuration/log/ConfigurationServiceTest.java
+++ b/configuration-log/src/test/java/coriandersill/configuration/log/ConfigurationServiceTest.java
@@ -19,7 +19,7 @@
 import coriandersill.core.ManualClock;
 import coriandersill.documents.RecordCodec;
 import coriandersill.events.EventCode;
-import coriandersill.platform.ManualScheduler;
+import coriandersill.sharedlog.ManualScheduler;
 import coriandersill.standins.platform.InMemoryLog;
 import java.time.Duration;
 import java.time.Instant;
--- a/daemon/src/main/java/coriandersill/daemon/internal/AuditTrail.java
+++ b/daemon/src/main/java/coriandersill/daemon/internal/AuditTrail.java
@@ -2,8 +2,8 @@
 
 import coriandersill.core.InstanceId;
 import coriandersill.events.EventCode;
-import coriandersill.platform.AppendMode;
-import coriandersill.platform.BatchingAppender;
+import coriandersill.sharedlog.AppendMode;
+import coriandersill.sharedlog.BatchingAppender;
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.time.Instant;
--- a/daemon/src/main/java/coriandersill/daemon/internal/SidecarAssembly.java
+++ b/daemon/src/main/java/coriandersill/daemon/internal/SidecarAssembly.java
@@ -15,7 +15,7 @@
 import coriandersill.idempotency.DispatchGate;
 import coriandersill.idempotency.GateStamp;
 import coriandersill.idempotency.IdempotencyKey;
-import coriandersill.platform.ListedInstance;
+import coriandersill.sharedlog.ListedInstance;
 import coriandersill.sidecar.DispatchCheck;
 import coriandersill.sidecar.PingSource;
 import coriandersill.sidecar.Sidecar;
--- a/explorer/src/main/java/coriandersill/explorer/SimulatedProcess.java
+++ b/explorer/src/main/java/coriandersill/explorer/SimulatedProcess.java
@@ -1,7 +1,7 @@
 package coriandersill.explorer;
 
-import coriandersill.platform.PlatformLog;
-import coriandersill.platform.Scheduler;
+import coriandersill.sharedlog.PlatformLog;
+import coriandersill.sharedlog.Scheduler;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/explorer/src/main/java/coriandersill/explorer/Simulation.java
+++ b/explorer/src/main/java/coriandersill/explorer/Simulation.java
@@ -1,7 +1,7 @@
 package coriandersill.explorer;
 
 import coriandersill.core.ManualClock;
-import coriandersill.platform.ManualScheduler;
+import coriandersill.sharedlog.ManualScheduler;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
--- a/explorer/src/test/java/coriandersill/explorer/ConfigurationExplorerTest.java
+++ b/explorer/src/test/java/coriandersill/explorer/ConfigurationExplorerTest.java
@@ -15,7 +15,7 @@
 import coriandersill.configuration.ZoneDocument;
 import coriandersill.core.AvailabilityZone;
 import coriandersill.documents.RecordCodec;
-import coriandersill.platform.LogFollower;
+import coriandersill.sharedlog.LogFollower;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
--- a/idempotency-log/src/test/java/coriandersill/idempotency/log/ClaimServiceTest.java
+++ b/idempotency-log/src/test/java/coriandersill/idempotency/log/ClaimServiceTest.java
@@ -17,7 +17,7 @@
 import coriandersill.idempotency.IdempotencyKey;
 import coriandersill.idempotency.KeyWindow;
 import coriandersill.idempotency.Outcome;
-import coriandersill.platform.ManualScheduler;
+import coriandersill.sharedlog.ManualScheduler;
 import coriandersill.standins.platform.InMemoryLog;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
--- a/rollout-log/src/main/java/coriandersill/rollout/log/RolloutSteps.java
+++ b/rollout-log/src/main/java/coriandersill/rollout/log/RolloutSteps.java
@@ -1,9 +1,6 @@
 package coriandersill.rollout.log;
 
 import coriandersill.core.ServiceName;
-import coriandersill.platform.AppendMode;
-import coriandersill.platform.BatchingAppender;
-import coriandersill.platform.LogFollower;
 import coriandersill.rollout.EvidenceTable;
 import coriandersill.rollout.Judgement;
 import coriandersill.rollout.LocalStops;
@@ -17,6 +14,9 @@
 import coriandersill.rollout.RolloutVerdict;
 import coriandersill.rollout.Stratum;
 import coriandersill.rollout.WindowEvidence;
+import coriandersill.sharedlog.AppendMode;
+import coriandersill.sharedlog.BatchingAppender;
+import coriandersill.sharedlog.LogFollower;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
--- a/platform-http/src/main/java/coriandersill/platform/http/HttpInstances.java
+++ b/shared-log-http/src/main/java/coriandersill/sharedlog/http/HttpInstances.java
@@ -1,4 +1,4 @@
-package coriandersill.platform.http;
+package coriandersill.sharedlog.http;
 
 import coriandersill.core.AvailabilityZone;
 import coriandersill.core.CallFailure;
@@ -6,11 +6,11 @@
 import coriandersill.core.InstanceId;
 import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
-import coriandersill.platform.InstanceList;
-import coriandersill.platform.InstanceRegistry;
-import coriandersill.platform.ListedInstance;
-import coriandersill.platform.http.internal.HttpExchange;
-import coriandersill.platform.http.internal.HttpExchange.Answer;
+import coriandersill.sharedlog.InstanceList;
+import coriandersill.sharedlog.InstanceRegistry;
+import coriandersill.sharedlog.ListedInstance;
+import coriandersill.sharedlog.http.internal.HttpExchange;
+import coriandersill.sharedlog.http.internal.HttpExchange.Answer;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
--- a/platform-http/src/main/java/coriandersill/platform/http/HttpLog.java
+++ b/shared-log-http/src/main/java/coriandersill/sharedlog/http/HttpLog.java
@@ -1,13 +1,13 @@
-package coriandersill.platform.http;
+package coriandersill.sharedlog.http;
 
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
-import coriandersill.platform.LogPage;
-import coriandersill.platform.LogRecord;
-import coriandersill.platform.PlatformLog;
-import coriandersill.platform.http.internal.HttpExchange;
-import coriandersill.platform.http.internal.HttpExchange.Answer;
+import coriandersill.sharedlog.LogPage;
+import coriandersill.sharedlog.LogRecord;
+import coriandersill.sharedlog.PlatformLog;
+import coriandersill.sharedlog.http.internal.HttpExchange;
+import coriandersill.sharedlog.http.internal.HttpExchange.Answer;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonArray;
--- a/platform-http/src/main/java/coriandersill/platform/http/HttpPlatform.java
+++ b/shared-log-http/src/main/java/coriandersill/sharedlog/http/HttpPlatform.java
@@ -1,11 +1,11 @@
-package coriandersill.platform.http;
+package coriandersill.sharedlog.http;
 
 import coriandersill.core.ManagedService;
-import coriandersill.platform.InstanceList;
-import coriandersill.platform.InstanceRegistry;
-import coriandersill.platform.PlatformLog;
-import coriandersill.platform.WeightStore;
-import coriandersill.platform.http.internal.HttpExchange;
+import coriandersill.sharedlog.InstanceList;
+import coriandersill.sharedlog.InstanceRegistry;
+import coriandersill.sharedlog.PlatformLog;
+import coriandersill.sharedlog.WeightStore;
+import coriandersill.sharedlog.http.internal.HttpExchange;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
--- a/platform-http/src/main/java/coriandersill/platform/http/HttpWeights.java
+++ b/shared-log-http/src/main/java/coriandersill/sharedlog/http/HttpWeights.java
@@ -1,10 +1,10 @@
-package coriandersill.platform.http;
+package coriandersill.sharedlog.http;
 
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
-import coriandersill.platform.WeightStore;
-import coriandersill.platform.http.internal.HttpExchange;
-import coriandersill.platform.http.internal.HttpExchange.Answer;
+import coriandersill.sharedlog.WeightStore;
+import coriandersill.sharedlog.http.internal.HttpExchange;
+import coriandersill.sharedlog.http.internal.HttpExchange.Answer;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
--- a/platform-http/src/main/java/coriandersill/platform/http/internal/HttpExchange.java
+++ b/shared-log-http/src/main/java/coriandersill/sharedlog/http/internal/HttpExchange.java
@@ -1,4 +1,4 @@
-package coriandersill.platform.http.internal;
+package coriandersill.sharedlog.http.internal;
 
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
--- a/platform-http/src/main/java/coriandersill/platform/http/internal/package-info.java
+++ b/shared-log-http/src/main/java/coriandersill/sharedlog/http/internal/package-info.java
@@ -1,2 +1,2 @@
 /** One bounded HTTP exchange with the platform. */
-package coriandersill.platform.http.internal;
+package coriandersill.sharedlog.http.internal;
--- a/platform-http/src/main/java/coriandersill/platform/http/package-info.java
+++ b/shared-log-http/src/main/java/coriandersill/sharedlog/http/package-info.java
@@ -1,2 +1,2 @@
 /** HTTP clients of the platform's log, instance list and weight store. */
-package coriandersill.platform.http;
+package coriandersill.sharedlog.http;
--- a/platform-http/src/test/java/coriandersill/platform/http/HttpPlatformTest.java
+++ b/shared-log-http/src/test/java/coriandersill/sharedlog/http/HttpPlatformTest.java
@@ -1,7 +1,7 @@
-package coriandersill.platform.http;
+package coriandersill.sharedlog.http;
 
-import static coriandersill.platform.http.PlatformLogContractTest.await;
-import static coriandersill.platform.http.PlatformLogContractTest.failure;
+import static coriandersill.sharedlog.http.PlatformLogContractTest.await;
+import static coriandersill.sharedlog.http.PlatformLogContractTest.failure;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
@@ -14,8 +14,8 @@
 import coriandersill.core.ManualClock;
 import coriandersill.core.Ran;
 import coriandersill.core.ServiceName;
-import coriandersill.platform.ListedInstance;
-import coriandersill.platform.WeightStore;
+import coriandersill.sharedlog.ListedInstance;
+import coriandersill.sharedlog.WeightStore;
 import coriandersill.standins.platform.InMemoryLog;
 import coriandersill.standins.platform.InstanceTable;
 import coriandersill.standins.platform.PlatformServer;
--- a/platform-http/src/test/java/coriandersill/platform/http/PlatformLogContractTest.java
+++ b/shared-log-http/src/test/java/coriandersill/sharedlog/http/PlatformLogContractTest.java
@@ -1,4 +1,4 @@
-package coriandersill.platform.http;
+package coriandersill.sharedlog.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -7,8 +7,8 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
-import coriandersill.platform.LogPage;
-import coriandersill.platform.PlatformLog;
+import coriandersill.sharedlog.LogPage;
+import coriandersill.sharedlog.PlatformLog;
 import coriandersill.standins.platform.InMemoryLog;
 import coriandersill.standins.platform.LogFaults;
 import coriandersill.standins.platform.PlatformServer;
--- a/platform/src/main/java/coriandersill/platform/AppendMode.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/AppendMode.java
@@ -1,4 +1,4 @@
-package coriandersill.platform;
+package coriandersill.sharedlog;
 
 /** What a {@link BatchingAppender} does with a record when the log fails. */
 public enum AppendMode {
--- a/platform/src/main/java/coriandersill/platform/Backoff.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/Backoff.java
@@ -1,4 +1,4 @@
-package coriandersill.platform;
+package coriandersill.sharedlog;
 
 import java.time.Duration;
 import java.util.Objects;
--- a/platform/src/main/java/coriandersill/platform/BatchingAppender.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/BatchingAppender.java
@@ -1,4 +1,4 @@
-package coriandersill.platform;
+package coriandersill.sharedlog;
 
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
--- a/platform/src/main/java/coriandersill/platform/InstanceList.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/InstanceList.java
@@ -1,4 +1,4 @@
-package coriandersill.platform;
+package coriandersill.sharedlog;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/coriandersill/platform/ListedInstance.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/ListedInstance.java
@@ -1,4 +1,4 @@
-package coriandersill.platform;
+package coriandersill.sharedlog;
 
 import coriandersill.core.AvailabilityZone;
 import coriandersill.core.InstanceId;
--- a/platform/src/main/java/coriandersill/platform/LogHandler.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/LogHandler.java
@@ -1,4 +1,4 @@
-package coriandersill.platform;
+package coriandersill.sharedlog;
 
 /** Takes the records of one stream from a {@link LogFollower}, one at a time and in order of offset. */
 @FunctionalInterface
--- a/platform/src/main/java/coriandersill/platform/ManualScheduler.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/ManualScheduler.java
@@ -1,4 +1,4 @@
-package coriandersill.platform;
+package coriandersill.sharedlog;
 
 import coriandersill.core.ManualClock;
 import java.time.Duration;
--- a/platform/src/main/java/coriandersill/platform/package-info.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/package-info.java
@@ -1,2 +1,2 @@
 /** Interfaces of the platform's services: the append-only log, the list of instances and the weight store. */
-package coriandersill.platform;
+package coriandersill.sharedlog;
--- a/standins/src/main/java/coriandersill/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/coriandersill/standins/platform/PlatformServer.java
@@ -4,7 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.ManagedService;
 import coriandersill.core.Ran;
-import coriandersill.platform.LogPage;
+import coriandersill.sharedlog.LogPage;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
--- a/standins/src/test/java/coriandersill/standins/platform/LogFollowerTest.java
+++ b/standins/src/test/java/coriandersill/standins/platform/LogFollowerTest.java
@@ -8,9 +8,9 @@
 import static org.hamcrest.Matchers.is;
 
 import coriandersill.core.ManualClock;
-import coriandersill.platform.LogFollower;
-import coriandersill.platform.LogNotice;
-import coriandersill.platform.ManualScheduler;
+import coriandersill.sharedlog.LogFollower;
+import coriandersill.sharedlog.LogNotice;
+import coriandersill.sharedlog.ManualScheduler;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
