Serve the platform's calls: catalog, upstreams, relay and the adapter, from ingress to moved generations

Cause: nothing served the users' platform; the product's entries reach upstreams only through a sidecar of their own. Ruled out: a gate process beside each engine. The router learns unread prompts, others' load and a policy by prompt backlog. Log lines are bounded and never block.

--- /dev/null
+++ b/catalog/src/main/java/coriandersill/catalog/Catalog.java
@@ -0,0 +1,78 @@
+package coriandersill.catalog;
+
+import coriandersill.core.ServiceName;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * One version of everything that operators declare; immutable.
+ *
+ * <pre>{@code
+ * Optional<RouteRule> route = catalog.route("api.example", "/drafts/7");
+ * }</pre>
+ *
+ * @param version the version, which grows with each change
+ * @param routesByHost the routes of each host, longest prefix first
+ * @param services the services by name
+ * @param workspacesByKey the workspace that holds each key
+ * @param keysRequired whether calls need a key where their route is not open
+ * @param limits what callers may send
+ */
+public record Catalog(
+        long version,
+        Map<String, List<RouteRule>> routesByHost,
+        Map<ServiceName, ServiceRule> services,
+        Map<String, WorkspaceRule> workspacesByKey,
+        boolean keysRequired,
+        CallLimits limits) {
+
+    /** Copies the collections. */
+    public Catalog {
+        routesByHost = Map.copyOf(routesByHost);
+        services = Map.copyOf(services);
+        workspacesByKey = Map.copyOf(workspacesByKey);
+    }
+
+    /** Returns a catalog of the given parts; the order of {@code routes} does not matter. */
+    public static Catalog of(
+            long version,
+            List<RouteRule> routes,
+            List<ServiceRule> services,
+            Map<String, WorkspaceRule> workspacesByKey,
+            boolean keysRequired,
+            CallLimits limits) {
+        Comparator<RouteRule> longestFirst = Comparator.comparingInt(
+                        (RouteRule route) -> route.pathPrefix().length())
+                .reversed();
+        Map<String, List<RouteRule>> byHost = routes.stream()
+                .sorted(longestFirst)
+                .collect(Collectors.groupingBy(RouteRule::host, Collectors.toUnmodifiableList()));
+        Map<ServiceName, ServiceRule> byName =
+                services.stream().collect(Collectors.toMap(ServiceRule::name, Function.identity()));
+        return new Catalog(version, byHost, byName, workspacesByKey, keysRequired, limits);
+    }
+
+    /** Returns the route whose host is {@code host} and whose prefix is the longest that begins {@code path}. */
+    public Optional<RouteRule> route(String host, String path) {
+        for (RouteRule route : routesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the workspace that holds {@code key}. */
+    public Optional<WorkspaceRule> workspace(String key) {
+        return Optional.ofNullable(workspacesByKey.get(key));
+    }
+
+    /** Returns a declared service. */
+    public Optional<ServiceRule> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+}
--- /dev/null
+++ b/events/src/main/java/coriandersill/events/BoundedLogHandler.java
@@ -0,0 +1,89 @@
+package coriandersill.events;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Writes log lines to a stream on a thread of its own and never holds the thread that logs.
+ *
+ * <pre>{@code
+ * BoundedLogHandler.install(System.out, 4_096);
+ * }</pre>
+ *
+ * <p>A line that finds the queue full is dropped and counted; the next line that is written is preceded by the count.
+ */
+public final class BoundedLogHandler extends Handler {
+    private final BlockingQueue<String> queue;
+    private final AtomicLong dropped = new AtomicLong();
+    private final PrintStream out;
+
+    private BoundedLogHandler(OutputStream stream, int capacity) {
+        this.queue = new ArrayBlockingQueue<>(capacity);
+        this.out = new PrintStream(stream, false, StandardCharsets.UTF_8);
+        Thread writer = new Thread(this::write, "log-writer");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /** Makes all loggers of the process write to {@code stream}, with at most {@code capacity} lines waiting. */
+    public static BoundedLogHandler install(OutputStream stream, int capacity) {
+        BoundedLogHandler handler = new BoundedLogHandler(stream, capacity);
+        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        root.setLevel(Level.INFO);
+        root.addHandler(handler);
+        return handler;
+    }
+
+    /** How many lines were dropped so far. */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    @Override
+    public void publish(LogRecord record) {
+        if (!isLoggable(record)) {
+            return;
+        }
+        String line =
+                record.getThrown() == null ? record.getMessage() : record.getMessage() + ": " + record.getThrown();
+        if (!queue.offer(line)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+
+    private void write() {
+        long told = 0;
+        try {
+            while (true) {
+                String line = queue.take();
+                long lost = dropped.get();
+                if (lost > told) {
+                    out.println("{\"name\":\"LINES_DROPPED\",\"lines\":" + (lost - told) + "}");
+                    told = lost;
+                }
+                out.println(line);
+                if (queue.isEmpty()) {
+                    out.flush();
+                }
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -19,6 +19,10 @@
     DRAIN_DEADLINE(103, Level.WARNING, "drain deadline passed with work still running"),
     /** The worker pool's queue is full. */
     WORKERS_SATURATED(104, Level.WARNING, "worker queue is full"),
+    /** The settings were read again. */
+    SETTINGS_READ(105, Level.INFO, "settings read"),
+    /** Settings are wrong and the daemon does not start. */
+    SETTINGS_WRONG(106, Level.ERROR, "settings are wrong"),
     /** A change set is in force in this process. */
     CONFIGURATION_APPLIED(200, Level.INFO, "configuration is in force"),
     /** A change set was refused by the fold. */
@@ -29,6 +33,8 @@
     CONFIGURATION_FROM_PEER(203, Level.INFO, "configuration learnt from a peer"),
     /** The accepted documents were published again before retention ends. */
     SNAPSHOT_PUBLISHED(204, Level.INFO, "snapshot published"),
+    /** An operator's document could not be read and was not followed. */
+    DOCUMENT_UNREADABLE(205, Level.WARNING, "operator's document not followed"),
     /** A wire connection is open. */
     PEER_CONNECTED(300, Level.INFO, "peer connected"),
     /** A wire connection has ended. */
@@ -49,6 +55,30 @@
     CALL_RETRIED(401, Level.INFO, "call retried"),
     /** The outcome of a call that may not be repeated is unknown. */
     OUTCOME_UNKNOWN(402, Level.WARNING, "outcome unknown"),
+    /** A call was taken: its route, workspace and time are decided. */
+    CALL_TAKEN(403, Level.INFO, "call taken"),
+    /** A request is written to an upstream. */
+    CALL_SENT(404, Level.INFO, "call sent"),
+    /** The chosen upstream left before the request was written. */
+    CALL_HELD_BACK(405, Level.INFO, "call held back from an upstream that left"),
+    /** An attempt failed; the outcome says whether it is repeated. */
+    CALL_ATTEMPT_FAILED(406, Level.INFO, "attempt failed"),
+    /** The first event of a stream went to the caller. */
+    CALL_FIRST_EVENT(407, Level.INFO, "first event"),
+    /** The caller has the whole answer. */
+    CALL_ANSWERED(408, Level.INFO, "call answered"),
+    /** A call was refused before it had a plan. */
+    CALL_REFUSED(409, Level.INFO, "call refused"),
+    /** The caller went away before its answer was whole. */
+    CALLER_LEFT(410, Level.INFO, "caller left"),
+    /** Further decisions of a call were not kept. */
+    CALL_LINES_DROPPED(411, Level.WARNING, "decisions of a call dropped"),
+    /** A running generation is to move, since its engine leaves or its stream broke. */
+    GENERATION_MOVING(420, Level.INFO, "generation is moving"),
+    /** A generation goes on at another engine. */
+    GENERATION_MOVED(421, Level.INFO, "generation moved"),
+    /** A step of a move failed. */
+    GENERATION_MOVE_HINDERED(422, Level.INFO, "move hindered"),
     /** An upstream is cold again. */
     UPSTREAM_COLD(500, Level.WARNING, "upstream is cold"),
     /** An upstream has proven its full limit. */
--- a/events/src/main/java/coriandersill/events/JsonEventLog.java
+++ b/events/src/main/java/coriandersill/events/JsonEventLog.java
@@ -1,8 +1,9 @@
 package coriandersill.events;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Objects;
@@ -17,7 +18,7 @@
  */
 public final class JsonEventLog implements EventLog {
     private static final System.Logger LOGGER = System.getLogger("coriandersill");
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final JsonFactory JSON = new JsonFactory();
 
     private final String instance;
     private final InstantSource clock;
@@ -41,21 +42,23 @@
 
     /** Returns the line for an event. */
     String line(EventCode code, Map<String, ?> details) {
-        ObjectNode node = MAPPER.createObjectNode();
-        node.put("time", clock.instant().toString());
-        node.put("event", code.number());
-        node.put("name", code.name());
-        node.put("instance", instance);
-        node.put("text", code.text());
-        details.forEach((field, value) -> {
-            if (value != null) {
-                node.put(field, value.toString());
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeStringField("time", clock.instant().toString());
+            json.writeNumberField("event", code.number());
+            json.writeStringField("name", code.name());
+            json.writeStringField("instance", instance);
+            json.writeStringField("text", code.text());
+            for (Map.Entry<String, ?> detail : details.entrySet()) {
+                if (detail.getValue() != null) {
+                    json.writeStringField(detail.getKey(), detail.getValue().toString());
+                }
             }
-        });
-        try {
-            return MAPPER.writeValueAsString(node);
-        } catch (JsonProcessingException e) {
+            json.writeEndObject();
+        } catch (IOException e) {
             throw new IllegalStateException("event " + code + " cannot be written as JSON", e);
         }
+        return text.toString();
     }
 }
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/FailureAnswers.java
@@ -0,0 +1,39 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.Ran;
+
+/** The table from a failure's kind to the HTTP status that answers it. */
+final class FailureAnswers {
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int FORBIDDEN = 403;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_LARGE = 413;
+    private static final int BAD_GATEWAY = 502;
+    static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private FailureAnswers() {}
+
+    /** Returns the status; 503 only where it is certain that the call did not run and never will. */
+    static int status(CallFailure failure) {
+        return switch (failure.kind()) {
+            case INVALID_REQUEST -> BAD_REQUEST;
+            case UNAUTHENTICATED -> UNAUTHORIZED;
+            case FORBIDDEN -> FORBIDDEN;
+            case NOT_FOUND -> NOT_FOUND;
+            default -> failure.ran() == Ran.NO ? UNAVAILABLE : unknown(failure.kind());
+        };
+    }
+
+    /** The status of a body over the limit. */
+    static int tooLarge() {
+        return TOO_LARGE;
+    }
+
+    private static int unknown(ErrorKind kind) {
+        return kind == ErrorKind.DEADLINE_EXCEEDED ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/FrontServer.java
@@ -0,0 +1,152 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ManagedService;
+import coriandersill.events.EventCode;
+import coriandersill.relay.CallRequest;
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Takes callers' requests whole and starts a call for each. */
+final class FrontServer implements ManagedService {
+    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_LINE_BYTES = 16_384;
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final int BACKLOG = 1_024;
+
+    /** How often a stopping server looks whether its calls have ended. */
+    private static final long DRAIN_STEP_MILLIS = 50;
+
+    /** A stopping server stays at least so long, while callers learn of it and new connections go elsewhere. */
+    private static final Duration SHORTEST_DRAIN = Duration.ofMillis(2_500);
+
+    private final RelayParts parts;
+    private final AtomicInteger open = new AtomicInteger();
+    private HttpServer server;
+    private volatile boolean stopping;
+
+    FrontServer(RelayParts parts) {
+        this.parts = parts;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(parts.settings().host())
+                .setPort(parts.settings().port())
+                .setAcceptBacklog(BACKLOG)
+                .setTcpNoDelay(true)
+                .setHttp2ClearTextEnabled(false)
+                .setMaxHeaderSize(MAX_HEAD_BYTES)
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setIdleTimeout(0);
+        server = parts.vertx().createHttpServer(options).requestHandler(this::take);
+        return server.listen().<Void>mapEmpty().toCompletionStage().toCompletableFuture();
+    }
+
+    /** Whether the server is on its way out. */
+    boolean stopping() {
+        return stopping;
+    }
+
+    /** Calls that are open now. */
+    int open() {
+        return open.get();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        if (stopping) {
+            drained.complete(null);
+            return drained;
+        }
+        stopping = true;
+        long begun = parts.clock().nanos();
+        parts.vertx().setPeriodic(DRAIN_STEP_MILLIS, timer -> {
+            long past = parts.clock().nanos() - begun;
+            boolean idle = open.get() == 0 && past > SHORTEST_DRAIN.toNanos();
+            if (idle || past > grace.toNanos()) {
+                parts.vertx().cancelTimer(timer);
+                if (!idle) {
+                    parts.events().record(EventCode.DRAIN_DEADLINE, Map.of("open", open.get()));
+                }
+                server.close().onComplete(closed -> drained.complete(null));
+            }
+        });
+        return drained;
+    }
+
+    private void take(HttpServerRequest request) {
+        long arrived = parts.clock().nanos();
+        open.incrementAndGet();
+        Caller caller = new Caller(request, () -> stopping, open::decrementAndGet);
+        CallRequest decoded;
+        try {
+            decoded = parts.codec().decode(request);
+        } catch (CallFailure malformed) {
+            refuse(caller, "unknown", malformed);
+            return;
+        }
+        Buffer body = Buffer.buffer();
+        request.handler(bytes -> {
+            if (body.length() + bytes.length() <= MAX_BODY_BYTES) {
+                body.appendBuffer(bytes);
+            } else {
+                request.connection().close();
+            }
+        });
+        request.endHandler(whole -> plan(decoded, body, caller, arrived));
+    }
+
+    private void plan(CallRequest request, Buffer body, Caller caller, long arrived) {
+        Context context = parts.vertx().getOrCreateContext();
+        parts.workers()
+                .submit(() -> parts.planner().plan(request))
+                .whenComplete((plan, error) -> context.runOnContext(ignored -> {
+                    if (error != null) {
+                        refuse(caller, request.id(), CallFailure.from(error));
+                    } else {
+                        begin(plan, body, caller, arrived);
+                    }
+                }));
+    }
+
+    private void begin(CallPlan plan, Buffer body, Caller caller, long arrived) {
+        CallTrace trace = new CallTrace(parts.events(), plan.request().id());
+        trace.note(
+                EventCode.CALL_TAKEN,
+                0,
+                Map.of(
+                        "route", plan.route().name(),
+                        "service", plan.service().name(),
+                        "workspace", plan.workspace().map(Object::toString).orElse(""),
+                        "allowed_ms", plan.timeAllowed().toMillis(),
+                        "prompt_tokens", plan.promptTokens(),
+                        "catalog", plan.catalogVersion()));
+        CallFlow call =
+                switch (plan.route().kind()) {
+                    case GENERATION -> new GenerationCall(parts, plan, body, caller, trace, arrived);
+                    case IDEMPOTENT, ONCE -> new PlainCall(parts, plan, body, caller, trace, arrived);
+                };
+        call.start();
+    }
+
+    private void refuse(Caller caller, String id, CallFailure failure) {
+        parts.meters().failed(failure.kind());
+        parts.events()
+                .record(
+                        EventCode.CALL_REFUSED,
+                        Map.of("call", id, "failure", failure.kind(), "detail", String.valueOf(failure.getMessage())));
+        Duration longest = Duration.ofNanos(TimeUnit.SECONDS.toNanos(1));
+        caller.fail(failure, longest);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -0,0 +1,299 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.Ran;
+import coriandersill.events.EventCode;
+import coriandersill.relay.AnswerHead;
+import coriandersill.relay.CallRequest;
+import coriandersill.relay.RunCopy;
+import coriandersill.routing.CallResult;
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A call that is answered by a stream of events from one generation.
+ *
+ * <p>Only whole events go to the caller, each once and in order. Where the generation moves to another engine, the
+ * stream goes on there at the next event.
+ */
+final class GenerationCall extends CallFlow {
+    /** How long a continuation may take to begin before it counts as failed. */
+    private static final long CONTINUATION_MILLIS = 2_000;
+
+    private final Context context;
+    private AnswerHead pendingHead;
+    private boolean headSent;
+    private long lastEvent;
+    private long events;
+    private GenerationMove move;
+    private boolean rescued;
+    private Runnable afterStop;
+
+    GenerationCall(RelayParts parts, CallPlan plan, Buffer body, Caller caller, CallTrace trace, long arrived) {
+        super(parts, plan, body, caller, trace, arrived);
+        this.context = parts.vertx().getOrCreateContext();
+        this.lastEvent = plan.request().lastEventId();
+    }
+
+    @Override
+    UpstreamExchange.Listener listener(UpstreamChoice.Chosen target) {
+        return new StreamAnswer(target, null);
+    }
+
+    @Override
+    long lastEventId() {
+        return lastEvent;
+    }
+
+    @Override
+    long deliveredAndLost() {
+        return plan.route().resumable() ? 0 : events;
+    }
+
+    @Override
+    void release() {
+        if (chosen != null) {
+            parts.generations().remove(chosen.upstream().instance(), this);
+        }
+        if (move != null) {
+            move.cancel();
+            move = null;
+        }
+    }
+
+    /** Hears from any thread that the engine leaves. */
+    void engineLeaves(Duration timeLeft) {
+        context.runOnContext(ignored -> startMove(timeLeft));
+    }
+
+    /** The tokens that the generation holds in memory by now, and those that it is likely to add. */
+    int tokensAtEnd() {
+        return plan.predictedTokens();
+    }
+
+    private void startMove(Duration timeLeft) {
+        if (!over() && move == null && exchange != null && worthMoving()) {
+            move = new GenerationMove(this, chosen, timeLeft);
+            move.start();
+        }
+    }
+
+    /** A short generation that may be resumed elsewhere ends, or starts again, sooner than it is moved. */
+    private boolean worthMoving() {
+        return plan.service().engine().filter(engine -> engine.moves()).isPresent()
+                && !plan.route().resumable();
+    }
+
+    /** Hears that the run has stopped and goes on at {@code target} from a copy. */
+    void continueAt(UpstreamChoice.Chosen target, RunCopy copy) {
+        if (exchange != null) {
+            exchange.cancel();
+        }
+        parts.generations().remove(chosen.upstream().instance(), this);
+        finishAttempt(chosen, CallResult.ok(0, 0, 0));
+        chosen = target;
+        StreamAnswer answer = new StreamAnswer(target, copy);
+        exchange = UpstreamExchange.start(
+                parts.client(), parts.codec(), call(target, lastEvent, Optional.of(copy)), body, answer);
+        parts.vertx().setTimer(CONTINUATION_MILLIS, timer -> answer.expectHead());
+    }
+
+    /** Hears that a move ended without one: the run goes on where it is, or has ended there. */
+    void moveEnded() {
+        move = null;
+        Runnable pending = afterStop;
+        afterStop = null;
+        if (pending != null && !over()) {
+            pending.run();
+        }
+    }
+
+    private void forward(EventSplitter.Event event) {
+        if (event.id() != EventSplitter.NO_ID) {
+            if (event.id() <= lastEvent) {
+                return;
+            }
+            lastEvent = event.id();
+        }
+        events++;
+        if (!headSent) {
+            headSent = true;
+            caller.stream(pendingHead);
+            parts.meters().firstEvent(elapsedNanos());
+            trace.note(
+                    EventCode.CALL_FIRST_EVENT,
+                    elapsedMillis(),
+                    Map.of("upstream", chosen.upstream().instance()));
+        }
+        write(event.bytes());
+    }
+
+    private void write(Buffer bytes) {
+        if (!caller.write(bytes) && exchange != null) {
+            UpstreamExchange held = exchange;
+            held.pause(true);
+            caller.onDrained(() -> held.pause(false));
+        }
+    }
+
+    /** The stream broke: another run may go on with it, or its engine is asked whether it still runs. */
+    private void broken(UpstreamChoice.Chosen target, CallFailure failure) {
+        if (!plan.route().resumable() && !rescued && events > 0 && worthMoving()) {
+            rescued = true;
+            afterStop = () -> broken(target, failure);
+            move = new GenerationMove(this, target, Duration.ZERO);
+            move.start();
+            return;
+        }
+        parts.generations().remove(target.upstream().instance(), this);
+        attemptFailed(target, events > 0 ? interrupted(failure) : failure);
+    }
+
+    private static CallFailure interrupted(CallFailure failure) {
+        return CallFailure.of(ErrorKind.GENERATION_INTERRUPTED, failure.getMessage());
+    }
+
+    private final class StreamAnswer implements UpstreamExchange.Listener {
+        private final UpstreamChoice.Chosen target;
+        private final RunCopy copy;
+        private final EventSplitter splitter = new EventSplitter();
+        private final Buffer refusal = Buffer.buffer();
+        private final long sentAt = parts.clock().nanos();
+        private AnswerHead head;
+        private CallFailure failure;
+        private boolean progressed;
+
+        private StreamAnswer(UpstreamChoice.Chosen target, RunCopy copy) {
+            this.target = target;
+            this.copy = copy;
+        }
+
+        @Override
+        public boolean sending() {
+            if (!mayBeSent(target)) {
+                return false;
+            }
+            parts.generations().add(target.upstream().instance(), GenerationCall.this);
+            return true;
+        }
+
+        @Override
+        public void head(AnswerHead received) {
+            head = received;
+            failure = AnswerCheck.failure(plan, received);
+            if (failure == null && !headSent) {
+                pendingHead = received;
+            }
+        }
+
+        @Override
+        public void data(Buffer bytes) {
+            if (failure != null) {
+                refusal.appendBuffer(bytes);
+                return;
+            }
+            for (EventSplitter.Event event : splitter.feed(bytes)) {
+                if (!progressed) {
+                    progressed = true;
+                    started();
+                }
+                forward(event);
+            }
+        }
+
+        private void started() {
+            parts.workers().executeOrRun(() -> parts.choice().promptRead(target, plan));
+            if (copy != null && move != null) {
+                move.succeeded();
+                move = null;
+            }
+            if (parts.upstreams().leaving(target.upstream().instance())) {
+                startMove(Duration.ofSeconds(1));
+            }
+        }
+
+        /** Gives a continuation up that has not begun in time. */
+        private void expectHead() {
+            if (head == null && exchange != null && chosen.equals(target) && !over()) {
+                exchange.cancel();
+                failed(CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the continuation did not begin")
+                        .withRan(Ran.UNKNOWN));
+            }
+        }
+
+        @Override
+        public void ended() {
+            if (failure != null) {
+                refused();
+            } else if (move != null && move.stopping() && !head.framed()) {
+                exchange = null;
+                afterStop = this::complete;
+            } else {
+                complete();
+            }
+        }
+
+        private void complete() {
+            exchange = null;
+            if (events == 0 && splitter.rest().length() == 0) {
+                attemptFailed(target, CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the stream ended without an event"));
+                return;
+            }
+            if (!headSent) {
+                headSent = true;
+                caller.stream(pendingHead);
+            }
+            if (splitter.rest().length() > 0) {
+                caller.write(splitter.rest());
+            }
+            caller.end();
+            long nanos = parts.clock().nanos() - sentAt;
+            finishAttempt(target, CallResult.ok(nanos / Math.max(1, events), 0, events));
+            trace.note(
+                    EventCode.CALL_ANSWERED,
+                    elapsedMillis(),
+                    Map.of(
+                            "status",
+                            head.status(),
+                            "events",
+                            events,
+                            "upstream",
+                            target.upstream().instance()));
+            finish(false);
+        }
+
+        private void refused() {
+            exchange = null;
+            parts.generations().remove(target.upstream().instance(), GenerationCall.this);
+            if (copy != null && move != null) {
+                move.continuationRefused(failure);
+                return;
+            }
+            boolean passedOn = !headSent && AnswerCheck.mayBePassedOn(plan, head);
+            attemptFailed(target, failure, passedOn ? head : null, refusal);
+        }
+
+        @Override
+        public void failed(CallFailure broke) {
+            exchange = null;
+            CallFailure cause = broke.kind() == ErrorKind.UNAVAILABLE ? broke.withRan(Ran.NO) : broke;
+            if (copy != null && !progressed && move != null && cause.ran() == Ran.NO) {
+                move.continuationRefused(cause);
+            } else if (move != null && copy == null) {
+                afterStop = () -> broken(target, cause);
+                move.streamBroke();
+            } else {
+                broken(target, cause);
+            }
+        }
+    }
+
+    /** The last event's identifier for requests that start from the first is {@link CallRequest#NO_EVENT}. */
+    boolean begun() {
+        return events > 0;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
@@ -0,0 +1,36 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.InstanceId;
+import coriandersill.core.lock.LockRank;
+import coriandersill.core.lock.RankedLock;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The open generations by engine; guarded by a lock of rank {@link LockRank#STREAMS}. */
+final class GenerationTable {
+    private final RankedLock lock = RankedLock.of(LockRank.STREAMS);
+    private final Map<InstanceId, Set<GenerationCall>> open = new HashMap<>();
+
+    void add(InstanceId engine, GenerationCall call) {
+        lock.run(() -> open.computeIfAbsent(engine, id -> new HashSet<>()).add(call));
+    }
+
+    void remove(InstanceId engine, GenerationCall call) {
+        lock.run(() -> {
+            Set<GenerationCall> calls = open.get(engine);
+            if (calls != null && calls.remove(call) && calls.isEmpty()) {
+                open.remove(engine);
+            }
+        });
+    }
+
+    /** Tells the generations at an engine that it leaves after {@code timeLeft}. */
+    void leaving(InstanceId engine, Duration timeLeft) {
+        List<GenerationCall> calls = lock.with(() -> List.copyOf(open.getOrDefault(engine, Set.of())));
+        calls.forEach(call -> call.engineLeaves(timeLeft));
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -0,0 +1,80 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
+import coriandersill.core.Ran;
+import coriandersill.relay.AnswerHead;
+import coriandersill.routing.CallResult;
+import io.vertx.core.buffer.Buffer;
+
+/** A call whose answer is checked as a whole before any of it goes to the caller. */
+final class PlainCall extends CallFlow {
+    PlainCall(RelayParts parts, CallPlan plan, Buffer body, Caller caller, CallTrace trace, long arrived) {
+        super(parts, plan, body, caller, trace, arrived);
+    }
+
+    @Override
+    UpstreamExchange.Listener listener(UpstreamChoice.Chosen target) {
+        return new WholeAnswer(target);
+    }
+
+    @Override
+    long lastEventId() {
+        return plan.request().lastEventId();
+    }
+
+    @Override
+    long deliveredAndLost() {
+        return 0;
+    }
+
+    @Override
+    void release() {}
+
+    private final class WholeAnswer implements UpstreamExchange.Listener {
+        private final UpstreamChoice.Chosen target;
+        private final Buffer answer = Buffer.buffer();
+        private final long sentAt = parts.clock().nanos();
+        private AnswerHead head;
+
+        private WholeAnswer(UpstreamChoice.Chosen target) {
+            this.target = target;
+        }
+
+        @Override
+        public boolean sending() {
+            return mayBeSent(target);
+        }
+
+        @Override
+        public void head(AnswerHead received) {
+            head = received;
+        }
+
+        @Override
+        public void data(Buffer bytes) {
+            answer.appendBuffer(bytes);
+        }
+
+        @Override
+        public void ended() {
+            CallFailure failure = AnswerCheck.failure(plan, head);
+            if (failure != null) {
+                boolean passedOn = AnswerCheck.mayBePassedOn(plan, head);
+                attemptFailed(target, failure, passedOn ? head : null, answer);
+                return;
+            }
+            long nanos = parts.clock().nanos() - sentAt;
+            finishAttempt(target, CallResult.ok(nanos, 0, 0));
+            exchange = null;
+            parts.meters().answered(elapsedNanos());
+            deliver(head, answer);
+        }
+
+        @Override
+        public void failed(CallFailure failure) {
+            boolean unsent = failure.kind() == ErrorKind.UNAVAILABLE;
+            attemptFailed(target, unsent ? failure.withRan(Ran.NO) : failure);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/ReadyServer.java
@@ -0,0 +1,42 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.ManagedService;
+import coriandersill.relay.RelaySettings;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+/** Tells the balancer whether this entry takes new connections; every path is answered alike. */
+final class ReadyServer implements ManagedService {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final Vertx vertx;
+    private final RelaySettings settings;
+    private final BooleanSupplier ready;
+    private HttpServer server;
+
+    ReadyServer(Vertx vertx, RelaySettings settings, BooleanSupplier ready) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.ready = ready;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        HttpServerOptions options =
+                new HttpServerOptions().setHost(settings.readyHost()).setPort(settings.readyPort());
+        server = vertx.createHttpServer(options).requestHandler(request -> request.response()
+                .setStatusCode(ready.getAsBoolean() ? OK : UNAVAILABLE)
+                .end());
+        return server.listen().<Void>mapEmpty().toCompletionStage().toCompletableFuture();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(Duration grace) {
+        return server.close().toCompletionStage().toCompletableFuture();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -0,0 +1,136 @@
+package coriandersill.relay.internal;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import coriandersill.catalog.CatalogTable;
+import coriandersill.core.MonotonicClock;
+import coriandersill.events.EventLog;
+import coriandersill.relay.CallCodec;
+import coriandersill.relay.EngineControl;
+import coriandersill.relay.RelaySettings;
+import coriandersill.routing.LeastPromptBacklog;
+import coriandersill.routing.Router;
+import coriandersill.upstreams.ColdCallShare;
+import coriandersill.upstreams.Upstream;
+import coriandersill.upstreams.UpstreamListener;
+import coriandersill.upstreams.UpstreamTable;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+/** Puts the parts of a relay together. */
+public final class RelayAssembly {
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+    /** Above the most calls that an entry has open at one upstream. */
+    private static final int MOST_CONNECTIONS = 2_000;
+
+    /** What a generation in flight adds to the wait for the next prompt, in prompt tokens. */
+    private static final int TOKENS_PER_GENERATION = 60;
+
+    /** What the bytes of a generation between zones are worth, in prompt tokens of wait. */
+    private static final int TOKENS_FOR_OTHER_ZONE = 400;
+
+    /** Entries that share the budgets where their number is not known. */
+    private static final int ASSUMED_ENTRIES = 8;
+
+    private final FrontServer front;
+    private final ReadyServer ready;
+
+    private RelayAssembly(FrontServer front, ReadyServer ready) {
+        this.front = front;
+        this.ready = ready;
+    }
+
+    /** What a relay is given. */
+    public record Inputs(
+            Vertx vertx,
+            RelaySettings settings,
+            CatalogTable catalogs,
+            UpstreamTable upstreams,
+            CallCodec codec,
+            EngineControl engines,
+            WorkerPool workers,
+            MonotonicClock clock,
+            RandomGenerator random,
+            EventLog events,
+            MetricRegistry metrics) {}
+
+    /** Returns a relay's parts, not started. */
+    public static RelayAssembly of(Inputs inputs) {
+        Vertx vertx = inputs.vertx();
+        RelaySettings settings = inputs.settings();
+        MonotonicClock clock = inputs.clock();
+        RandomGenerator random = inputs.random();
+        HttpClient client = vertx.createHttpClient(
+                new HttpClientOptions()
+                        .setKeepAlive(false)
+                        .setTcpNoDelay(true)
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+                new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS));
+        Router engineRouter = Router.builder(clock, random)
+                .policy(LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_OTHER_ZONE, random.nextInt()))
+                .build();
+        Router plainRouter = Router.builder(clock, random).build();
+        ColdCallShare coldCalls = ColdCallShare.create(clock);
+        GenerationTable generations = new GenerationTable();
+        inputs.upstreams().listen(new Departures(generations, engineRouter, plainRouter, coldCalls));
+        RelayParts parts = new RelayParts(
+                vertx,
+                client,
+                inputs.workers(),
+                settings,
+                new CallPlanner(inputs.catalogs(), settings.catalogLifetime(), random),
+                new UpstreamChoice(
+                        settings, inputs.upstreams(), engineRouter, plainRouter, coldCalls, () -> ASSUMED_ENTRIES),
+                inputs.upstreams(),
+                inputs.codec(),
+                inputs.engines(),
+                new RepeatPolicy(settings.retryRatio(), settings.retryExtra() / ASSUMED_ENTRIES, random),
+                generations,
+                new RelayMeters(inputs.metrics()),
+                clock,
+                random,
+                inputs.events());
+        FrontServer front = new FrontServer(parts);
+        Gauge<Integer> open = front::open;
+        inputs.metrics().register("relay.open", open);
+        ReadyServer ready = new ReadyServer(
+                vertx, settings, () -> inputs.catalogs().newest().isPresent() && !front.stopping());
+        return new RelayAssembly(front, ready);
+    }
+
+    /** Starts listening. */
+    public CompletableFuture<Void> start() {
+        return ready.start().thenCompose(started -> front.start());
+    }
+
+    /** Lets calls end within {@code grace}, then stops listening. */
+    public CompletableFuture<Void> stop(Duration grace) {
+        return front.stop(grace).thenCompose(drained -> ready.stop(grace));
+    }
+
+    /** Moves generations off engines that leave, and forgets what is gone. */
+    private record Departures(GenerationTable generations, Router engines, Router plain, ColdCallShare coldCalls)
+            implements UpstreamListener {
+        @Override
+        public void joined(Upstream upstream) {}
+
+        @Override
+        public void leaving(Upstream upstream, Duration timeLeft) {
+            generations.leaving(upstream.instance(), timeLeft);
+        }
+
+        @Override
+        public void gone(Upstream upstream) {
+            engines.forget(upstream.instance());
+            plain.forget(upstream.instance());
+            coldCalls.forget(upstream.instance());
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayParts.java
@@ -0,0 +1,30 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.MonotonicClock;
+import coriandersill.events.EventLog;
+import coriandersill.relay.CallCodec;
+import coriandersill.relay.EngineControl;
+import coriandersill.relay.RelaySettings;
+import coriandersill.upstreams.UpstreamTable;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import java.util.random.RandomGenerator;
+
+/** What every call of one relay uses. */
+record RelayParts(
+        Vertx vertx,
+        HttpClient client,
+        WorkerPool workers,
+        RelaySettings settings,
+        CallPlanner planner,
+        UpstreamChoice choice,
+        UpstreamTable upstreams,
+        CallCodec codec,
+        EngineControl engines,
+        RepeatPolicy repeats,
+        GenerationTable generations,
+        RelayMeters meters,
+        MonotonicClock clock,
+        RandomGenerator random,
+        EventLog events) {}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/RepeatPolicy.java
@@ -0,0 +1,30 @@
+package coriandersill.relay.internal;
+
+import coriandersill.core.ServiceName;
+import coriandersill.routing.BudgetedRetry;
+import coriandersill.routing.RetryBudget;
+import coriandersill.routing.RetryPolicy;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
+
+/** Gives each call the retry policy of its route, within one budget for each service; safe for use by many threads. */
+final class RepeatPolicy {
+    private final double ratio;
+    private final double burst;
+    private final RandomGenerator random;
+    private final Map<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    RepeatPolicy(double ratio, double burst, RandomGenerator random) {
+        this.ratio = ratio;
+        this.burst = burst;
+        this.random = random;
+    }
+
+    /** Returns the policy of a call; repeats are made at once. */
+    RetryPolicy of(CallPlan plan) {
+        RetryBudget budget = budgets.computeIfAbsent(plan.service().name(), name -> RetryBudget.of(ratio, burst));
+        return BudgetedRetry.of(budget, plan.route().maxAttempts(), Duration.ZERO, Duration.ZERO, random);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -0,0 +1,142 @@
+package coriandersill.relay.internal;
+
+import coriandersill.catalog.EngineRule;
+import coriandersill.core.InstanceId;
+import coriandersill.core.VersionName;
+import coriandersill.relay.RelaySettings;
+import coriandersill.routing.CallResult;
+import coriandersill.routing.Candidate;
+import coriandersill.routing.CandidateInfo;
+import coriandersill.routing.RouteRequest;
+import coriandersill.routing.Router;
+import coriandersill.upstreams.ColdCallShare;
+import coriandersill.upstreams.Upstream;
+import coriandersill.upstreams.UpstreamTable;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.IntSupplier;
+
+/** Chooses the upstream of a call among those that are in service now, and keeps the books of what is in flight. */
+final class UpstreamChoice {
+    /** Stands for all versions where no rollout divides a service's calls. */
+    static final VersionName ANY_VERSION = VersionName.of("any");
+
+    private final RelaySettings settings;
+    private final UpstreamTable upstreams;
+    private final Router engines;
+    private final Router plain;
+    private final ColdCallShare coldCalls;
+    private final IntSupplier entries;
+
+    UpstreamChoice(
+            RelaySettings settings,
+            UpstreamTable upstreams,
+            Router engines,
+            Router plain,
+            ColdCallShare coldCalls,
+            IntSupplier entries) {
+        this.settings = settings;
+        this.upstreams = upstreams;
+        this.engines = engines;
+        this.plain = plain;
+        this.coldCalls = coldCalls;
+        this.entries = entries;
+    }
+
+    /** A chosen upstream and the request by which the router counts it. */
+    record Chosen(Upstream upstream, RouteRequest request, boolean engine) {}
+
+    /** Chooses an upstream and counts the call as in flight there; empty if none takes it now. */
+    Optional<Chosen> choose(CallPlan plan, Set<InstanceId> excluded) {
+        List<Upstream> known = upstreams.inService(plan.service().name()).stream()
+                .filter(upstream -> allowedRegion(plan, upstream))
+                .toList();
+        Set<InstanceId> avoided = new HashSet<>(excluded);
+        boolean engine = plan.service().engine().isPresent();
+        while (true) {
+            RouteRequest request = request(plan, avoided);
+            Optional<Candidate> candidate = router(engine).select(request, infos(plan, known));
+            if (candidate.isEmpty()) {
+                return Optional.empty();
+            }
+            InstanceId instance = candidate.get().instance();
+            if (coldCallAllowed(plan, instance)) {
+                if (engine) {
+                    engines.unreadPrompt(instance, plan.promptTokens());
+                }
+                return known.stream()
+                        .filter(upstream -> upstream.instance().equals(instance))
+                        .findFirst()
+                        .map(upstream -> new Chosen(upstream, request, engine));
+            }
+            router(engine).finished(instance, request, new CallResult(CallResult.Kind.REFUSED, 0, 0, 0));
+            avoided.add(instance);
+        }
+    }
+
+    /** Chooses the engine that a running generation moves to, and counts the generation there. */
+    Optional<Chosen> chooseTarget(CallPlan plan, Upstream source, Set<InstanceId> excluded, int tokens) {
+        List<Upstream> known = upstreams.inService(plan.service().name()).stream()
+                .filter(upstream -> !excluded.contains(upstream.instance()))
+                .filter(upstream -> !upstream.instance().equals(source.instance()))
+                .filter(upstream -> allowedRegion(plan, upstream))
+                .toList();
+        RouteRequest request = new RouteRequest(
+                plan.service().name(), plan.route().name(), ANY_VERSION, source.zone(), 0, 0, tokens, excluded);
+        return engines.select(request, infos(plan, known)).flatMap(candidate -> known.stream()
+                .filter(upstream -> upstream.instance().equals(candidate.instance()))
+                .findFirst()
+                .map(upstream -> new Chosen(upstream, request, true)));
+    }
+
+    /** Notes that the first event of a generation has come: its prompt is read. */
+    void promptRead(Chosen chosen, CallPlan plan) {
+        engines.unreadPrompt(chosen.upstream().instance(), -plan.promptTokens());
+    }
+
+    /** Notes the end of a call that was chosen. */
+    void finished(Chosen chosen, CallResult result) {
+        router(chosen.engine()).finished(chosen.upstream().instance(), chosen.request(), result);
+    }
+
+    private Router router(boolean engine) {
+        return engine ? engines : plain;
+    }
+
+    private boolean allowedRegion(CallPlan plan, Upstream upstream) {
+        Set<String> regions = plan.route().regions();
+        return regions.isEmpty()
+                || regions.contains(settings.regions().get(upstream.zone().value()));
+    }
+
+    private boolean coldCallAllowed(CallPlan plan, InstanceId instance) {
+        double perSecond = plan.service().coldCallsPerSecond();
+        if (perSecond <= 0 || !upstreams.cold(instance)) {
+            return true;
+        }
+        double borne = perSecond * settings.coldFactor() + settings.coldExtra();
+        return coldCalls.tryCall(instance, borne, entries.getAsInt());
+    }
+
+    private static List<CandidateInfo> infos(CallPlan plan, List<Upstream> known) {
+        int memory = plan.service().engine().map(EngineRule::memoryTokens).orElse(0);
+        return known.stream()
+                .map(upstream -> new CandidateInfo(
+                        upstream.instance(), upstream.zone(), ANY_VERSION, Math.max(1, upstream.slots()), memory))
+                .toList();
+    }
+
+    private RouteRequest request(CallPlan plan, Set<InstanceId> excluded) {
+        return new RouteRequest(
+                plan.service().name(),
+                plan.route().name(),
+                ANY_VERSION,
+                settings.zone(),
+                0,
+                plan.promptTokens(),
+                plan.predictedTokens(),
+                excluded);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the relay. */
+package coriandersill.relay.internal;
--- a/routing/src/main/java/coriandersill/routing/Candidate.java
+++ b/routing/src/main/java/coriandersill/routing/Candidate.java
@@ -16,6 +16,7 @@
  * @param othersTokens tokens reserved for them, discounted likewise
  * @param limit the concurrency limit by the sidecar's last report, 1 or more
  * @param memoryTokens the engine memory in tokens; 0 where unknown
+ * @param unreadPromptTokens tokens of prompts that the upstream has been given and has not read yet
  */
 public record Candidate(
         InstanceId instance,
@@ -26,7 +27,22 @@
         int othersInFlight,
         long othersTokens,
         int limit,
-        long memoryTokens) {
+        long memoryTokens,
+        long unreadPromptTokens) {
+
+    /** Creates a candidate that has read all its prompts, or does not count them. */
+    public Candidate(
+            InstanceId instance,
+            AvailabilityZone zone,
+            VersionName version,
+            int inFlight,
+            long reservedTokens,
+            int othersInFlight,
+            long othersTokens,
+            int limit,
+            long memoryTokens) {
+        this(instance, zone, version, inFlight, reservedTokens, othersInFlight, othersTokens, limit, memoryTokens, 0);
+    }
 
     /** Creates a candidate of which the tokens of other entries are unknown. */
     public Candidate(
@@ -38,7 +54,7 @@
             int othersInFlight,
             int limit,
             long memoryTokens) {
-        this(instance, zone, version, inFlight, reservedTokens, othersInFlight, 0, limit, memoryTokens);
+        this(instance, zone, version, inFlight, reservedTokens, othersInFlight, 0, limit, memoryTokens, 0);
     }
 
     /**
@@ -53,6 +69,11 @@
         return Math.max(concurrency, (reservedTokens + othersTokens) / (double) memoryTokens);
     }
 
+    /** Whether the memory holds {@code tokens} more beside what is predicted for the calls in flight. */
+    public boolean holds(int tokens) {
+        return memoryTokens <= 0 || reservedTokens + othersTokens + tokens <= memoryTokens;
+    }
+
     /** Whether the request may go here: the version is the one it asks for and it has not been tried here before. */
     boolean suits(RouteRequest request) {
         return version.equals(request.version()) && !request.excluded().contains(instance);
--- /dev/null
+++ b/routing/src/main/java/coriandersill/routing/OthersLoad.java
@@ -0,0 +1,21 @@
+package coriandersill.routing;
+
+/**
+ * What all other entries together have in flight at one upstream.
+ *
+ * @param inFlight calls that run or wait there
+ * @param reservedTokens engine memory predicted for them, in tokens
+ * @param unreadPromptTokens tokens of their prompts that are not read yet
+ */
+public record OthersLoad(int inFlight, long reservedTokens, long unreadPromptTokens) {
+    /** Nothing in flight. */
+    public static final OthersLoad NONE = new OthersLoad(0, 0, 0);
+
+    /** Returns the sum of both. */
+    public OthersLoad plus(OthersLoad other) {
+        return new OthersLoad(
+                inFlight + other.inFlight,
+                reservedTokens + other.reservedTokens,
+                unreadPromptTokens + other.unreadPromptTokens);
+    }
+}
--- a/routing/src/main/java/coriandersill/routing/Router.java
+++ b/routing/src/main/java/coriandersill/routing/Router.java
@@ -80,6 +80,29 @@
         lock.run(() -> instances.report(instance, report, clock.nanos()));
     }
 
+    /** Notes what other entries have in flight at an instance; it goes before what load reports say of them. */
+    public void others(InstanceId instance, OthersLoad load) {
+        lock.run(() -> instances.others(instance, load, clock.nanos()));
+    }
+
+    /** Notes that {@code tokens} of a prompt are to be read by an instance, or have been read where negative. */
+    public void unreadPrompt(InstanceId instance, int tokens) {
+        lock.run(() -> instances.unreadPrompt(instance, tokens));
+    }
+
+    /** Counts a call as in flight at an instance that was chosen by other means, such as the target of a move. */
+    public void reserve(InstanceId instance, int tokens) {
+        lock.run(() -> instances.reserve(instance, tokens));
+    }
+
+    /** Returns how each of {@code known} looks now, without choosing. */
+    public List<Candidate> view(Collection<CandidateInfo> known) {
+        return lock.with(() -> {
+            long now = clock.nanos();
+            return known.stream().map(info -> instances.candidate(info, now)).toList();
+        });
+    }
+
     /** Forgets an instance that has left; calls that still end there are ignored. */
     public void forget(InstanceId instance) {
         lock.run(() -> {
--- a/routing/src/main/java/coriandersill/routing/internal/InstanceTable.java
+++ b/routing/src/main/java/coriandersill/routing/internal/InstanceTable.java
@@ -4,6 +4,7 @@
 import coriandersill.routing.Candidate;
 import coriandersill.routing.CandidateInfo;
 import coriandersill.routing.LoadReport;
+import coriandersill.routing.OthersLoad;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -31,6 +32,9 @@
             return false;
         }
         state.inFlight--;
+        if (state.inFlight == 0) {
+            state.unreadPromptTokens = 0;
+        }
         state.reservedTokens = state.inFlight == 0 ? 0 : Math.max(0, state.reservedTokens - tokens);
         return true;
     }
@@ -45,6 +49,21 @@
         state.othersTokens = (long) (state.othersInFlight * state.tokensPerCall);
     }
 
+    /** Counts prompt tokens that an instance has been given, or has read where {@code tokens} is negative. */
+    public void unreadPrompt(InstanceId instance, int tokens) {
+        State state = states.get(instance);
+        if (state != null) {
+            state.unreadPromptTokens = Math.max(0, state.unreadPromptTokens + tokens);
+        }
+    }
+
+    /** Keeps what others have in flight at an instance, in place of what was known of them. */
+    public void others(InstanceId instance, OthersLoad load, long now) {
+        State state = states.computeIfAbsent(instance, id -> new State());
+        state.others = load;
+        state.othersAt = now;
+    }
+
     /** Forgets an instance. */
     public void forget(InstanceId instance) {
         states.remove(instance);
@@ -63,6 +82,9 @@
             return new Candidate(
                     info.instance(), info.zone(), info.version(), 0, 0, 0, info.limit(), info.memoryTokens());
         }
+        if (state.others != null) {
+            return withOthers(info, state, now);
+        }
         LoadReport report = state.report;
         double weight = report == null ? 0 : Math.max(0, 1 - (now - state.reportedAt) / (double) reportLifetimeNanos);
         return new Candidate(
@@ -74,7 +96,23 @@
                 (int) Math.round(weight * state.othersInFlight),
                 (long) (weight * state.othersTokens),
                 report == null ? info.limit() : Math.max(1, report.limit()),
-                report == null ? info.memoryTokens() : report.memoryTokens());
+                report == null ? info.memoryTokens() : report.memoryTokens(),
+                state.unreadPromptTokens);
+    }
+
+    private Candidate withOthers(CandidateInfo info, State state, long now) {
+        OthersLoad others = now - state.othersAt > reportLifetimeNanos ? OthersLoad.NONE : state.others;
+        return new Candidate(
+                info.instance(),
+                info.zone(),
+                info.version(),
+                state.inFlight,
+                state.reservedTokens,
+                others.inFlight(),
+                others.reservedTokens(),
+                info.limit(),
+                info.memoryTokens(),
+                state.unreadPromptTokens + others.unreadPromptTokens());
     }
 
     /** What is known of one instance. */
@@ -86,5 +124,8 @@
         private int othersInFlight;
         private long othersTokens;
         private double tokensPerCall;
+        private long unreadPromptTokens;
+        private OthersLoad others;
+        private long othersAt;
     }
 }
