--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -49,6 +49,8 @@
     INSTANCE_LEFT(311, Level.INFO, "instance out of service"),
     /** The instance list is empty or stale and was not followed. */
     INSTANCE_LIST_DOUBTED(312, Level.WARNING, "instance list not followed"),
+    /** An engine did not answer when it was asked for its report. */
+    ENGINE_SILENT(313, Level.WARNING, "engine does not report"),
     /** A call failed. */
     CALL_FAILED(400, Level.INFO, "call failed"),
     /** A call went to another upstream after a refusal or a failure before the first token. */
--- a/relay/src/main/java/coriandersill/relay/internal/CallFlow.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallFlow.java
@@ -38,6 +38,9 @@
     /** The most upstreams that a call is sent to, those that refuse included. */
     private static final int MOST_SENDS = 4;
 
+    /** The most upstreams that cannot be reached before a call is given up. */
+    private static final int MOST_UNREACHED = 5;
+
     /** How long before the end of its time a call is given up, so that the answer is there in time. */
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(10);
 
@@ -54,6 +57,7 @@
     private Ran ranBefore = Ran.NO;
     private int sends;
     private int mayHaveRun;
+    private int unreached;
     private boolean over;
     UpstreamExchange exchange;
     UpstreamChoice.Chosen chosen;
@@ -113,7 +117,8 @@
         onWorker(() -> parts.choice().choose(plan, Set.copyOf(excluded)), found -> {
             if (found.isPresent()) {
                 send(found.get());
-            } else if (elapsedNanos() < plan.route().target().toNanos() / WAIT_PART && excluded.isEmpty()) {
+            } else if (elapsedNanos() < plan.route().target().toNanos() / WAIT_PART && sends == 0) {
+                excluded.clear();
                 parts.vertx().setTimer(WAIT_STEP_MILLIS, timer -> {
                     if (!over) {
                         find();
@@ -197,6 +202,10 @@
         finishAttempt(target, CallResult.failed(failure.ran() == Ran.NO ? ErrorKind.DRAINING : failure.kind()));
         exchange = null;
         excluded.add(target.upstream().instance());
+        if (failure.kind() == ErrorKind.UNAVAILABLE && failure.ran() == Ran.NO) {
+            unreachable(target, failure);
+            return;
+        }
         if (failure.ran() != Ran.NO) {
             mayHaveRun++;
         }
@@ -227,6 +236,27 @@
         find();
     }
 
+    /** Looks for another upstream after one that nothing was written to. */
+    private void unreachable(UpstreamChoice.Chosen target, CallFailure failure) {
+        parts.upstreams().unreachable(target.upstream().instance());
+        sends--;
+        unreached++;
+        trace.note(
+                EventCode.CALL_ATTEMPT_FAILED,
+                elapsedMillis(),
+                Map.of(
+                        "upstream", target.upstream().instance(),
+                        "failure", failure.kind(),
+                        "ran", failure.ran(),
+                        "detail", String.valueOf(failure.getMessage()),
+                        "outcome", unreached < MOST_UNREACHED ? "another is looked for" : "given up"));
+        if (unreached < MOST_UNREACHED) {
+            find();
+        } else {
+            giveUp(failure.withRan(ranBefore));
+        }
+    }
+
     /** What the caller has of an answer that no other run can go on with, in events; 0 for none. */
     abstract long deliveredAndLost();
 
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -184,6 +184,7 @@
         @Override
         public void head(AnswerHead received) {
             head = received;
+            parts.upstreams().reached(target.upstream().instance());
             failure = AnswerCheck.failure(plan, received);
             if (failure == null && !headSent) {
                 pendingHead = received;
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
@@ -28,6 +28,11 @@
         });
     }
 
+    /** Whether any generation is open at an engine. */
+    boolean any(InstanceId engine) {
+        return lock.with(() -> open.containsKey(engine));
+    }
+
     /** Tells the generations at an engine that it leaves after {@code timeLeft}. */
     void leaving(InstanceId engine, Duration timeLeft) {
         List<GenerationCall> calls = lock.with(() -> List.copyOf(open.getOrDefault(engine, Set.of())));
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -49,6 +49,7 @@
         @Override
         public void head(AnswerHead received) {
             head = received;
+            parts.upstreams().reached(target.upstream().instance());
         }
 
         @Override
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -41,10 +41,12 @@
 
     private final FrontServer front;
     private final ReadyServer ready;
+    private final ReportWatch reports;
 
-    private RelayAssembly(FrontServer front, ReadyServer ready) {
+    private RelayAssembly(FrontServer front, ReadyServer ready, ReportWatch reports) {
         this.front = front;
         this.ready = ready;
+        this.reports = reports;
     }
 
     /** What a relay is given. */
@@ -102,11 +104,12 @@
         inputs.metrics().register("relay.open", open);
         ReadyServer ready = new ReadyServer(
                 vertx, settings, () -> inputs.catalogs().newest().isPresent() && !front.stopping());
-        return new RelayAssembly(front, ready);
+        return new RelayAssembly(front, ready, new ReportWatch(parts));
     }
 
     /** Starts listening. */
     public CompletableFuture<Void> start() {
+        reports.start();
         return ready.start().thenCompose(started -> front.start());
     }
 
--- a/upstreams/src/main/java/coriandersill/upstreams/UpstreamTable.java
+++ b/upstreams/src/main/java/coriandersill/upstreams/UpstreamTable.java
@@ -30,6 +30,11 @@
  * by many threads: guarded by a lock of rank {@link LockRank#MEMBERSHIP}.
  */
 public final class UpstreamTable {
+    /** How long an upstream that could not be reached is avoided the first time. */
+    private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(300);
+
+    private static final int MOST_DOUBLINGS = 4;
+
     private final RankedLock lock = RankedLock.of(LockRank.MEMBERSHIP);
     private final MonotonicClock clock;
     private final long leavingNanos;
@@ -37,6 +42,8 @@
     private final Set<AvailabilityZone> zonesOut = new HashSet<>();
     private final List<UpstreamListener> listeners = new ArrayList<>();
 
+    private long confirmedAt;
+
     private UpstreamTable(MonotonicClock clock, Duration leavingTime) {
         this.clock = Objects.requireNonNull(clock, "clock");
         this.leavingNanos = leavingTime.toNanos();
@@ -110,6 +117,39 @@
         unlisted(instance, Duration.ZERO);
     }
 
+    /** Notes that {@code instance} could not be reached: it is avoided for a while, longer with each time in a row. */
+    public void unreachable(InstanceId instance) {
+        lock.run(() -> {
+            Entry entry = entries.get(instance);
+            if (entry != null) {
+                long doubled = FIRST_AVOIDANCE.toNanos() << Math.min(entry.failuresInRow, MOST_DOUBLINGS);
+                entry.avoidedUntil = clock.nanos() + doubled;
+                entry.failuresInRow++;
+            }
+        });
+    }
+
+    /** Notes that {@code instance} answered. */
+    public void reached(InstanceId instance) {
+        lock.run(() -> {
+            Entry entry = entries.get(instance);
+            if (entry != null) {
+                entry.failuresInRow = 0;
+                entry.avoidedUntil = null;
+            }
+        });
+    }
+
+    /** Notes that the listings were complete {@code age} ago. */
+    public void confirm(Duration age) {
+        lock.run(() -> confirmedAt = clock.nanos() - age.toNanos());
+    }
+
+    /** Returns for how long it has not been confirmed that the listings are complete. */
+    public Duration age() {
+        return lock.with(() -> Duration.ofNanos(clock.nanos() - confirmedAt));
+    }
+
     /** Returns the identifiers of all upstreams that are listed or leaving. */
     public Set<InstanceId> known() {
         return lock.with(() -> Set.copyOf(entries.keySet()));
@@ -152,8 +192,16 @@
         });
     }
 
-    /** Returns the upstreams of a service that take new work. */
+    /**
+     * Returns the upstreams of a service that take new work; those that could not be reached only if there are no
+     * others.
+     */
     public List<Upstream> inService(ServiceName service) {
+        List<Upstream> reachable =
+                select(entry -> entry.upstream.service().equals(service) && takesWork(entry) && !avoided(entry));
+        if (!reachable.isEmpty()) {
+            return reachable;
+        }
         return select(entry -> entry.upstream.service().equals(service) && takesWork(entry));
     }
 
@@ -192,6 +240,10 @@
                 .toList());
     }
 
+    private boolean avoided(Entry entry) {
+        return entry.avoidedUntil != null && clock.nanos() - entry.avoidedUntil < 0;
+    }
+
     private boolean takesWork(Entry entry) {
         return entry.leavingSince == null && !zonesOut.contains(entry.upstream.zone());
     }
@@ -216,5 +268,7 @@
         private Long coldUntil;
         private Long leavingSince;
         private Long removalDue;
+        private Long avoidedUntil;
+        private int failuresInRow;
     }
 }
