Balance generations over engines and move them within their zone

Ruled out: slow notice of departures: a listing is seen 15 ms after it is written. Change: what other entries run is read from reports once a second; a generation in flight counts 1,000 prompt tokens; moves go to another zone only for four runs' difference; departures are logged with the runs they hit.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -5,7 +5,6 @@
 import coriandersill.core.Ran;
 import coriandersill.events.EventCode;
 import coriandersill.relay.AnswerHead;
-import coriandersill.relay.CallRequest;
 import coriandersill.relay.RunCopy;
 import coriandersill.routing.CallResult;
 import io.vertx.core.Context;
@@ -293,8 +292,13 @@
         }
     }
 
-    /** The last event's identifier for requests that start from the first is {@link CallRequest#NO_EVENT}. */
+    /** Whether any event has come. */
     boolean begun() {
         return events > 0;
     }
+
+    /** The caller's identifier of the attempt. */
+    String id() {
+        return plan.request().id();
+    }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** The open generations by engine; guarded by a lock of rank {@link LockRank#STREAMS}. */
 final class GenerationTable {
@@ -28,9 +29,11 @@
         });
     }
 
-    /** Whether any generation is open at an engine. */
-    boolean any(InstanceId engine) {
-        return lock.with(() -> open.containsKey(engine));
+    /** Returns the callers' identifiers of the generations that are open at an engine. */
+    Set<String> ids(InstanceId engine) {
+        return lock.with(() -> open.getOrDefault(engine, Set.of()).stream()
+                .map(GenerationCall::id)
+                .collect(Collectors.toUnmodifiableSet()));
     }
 
     /** Tells the generations at an engine that it leaves after {@code timeLeft}. */
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -10,9 +10,8 @@
 import coriandersill.relay.RelaySettings;
 import coriandersill.routing.LeastPromptBacklog;
 import coriandersill.routing.Router;
+import coriandersill.routing.RoutingPolicy;
 import coriandersill.upstreams.ColdCallShare;
-import coriandersill.upstreams.Upstream;
-import coriandersill.upstreams.UpstreamListener;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
@@ -30,11 +29,14 @@
     /** Above the most calls that an entry has open at one upstream. */
     private static final int MOST_CONNECTIONS = 2_000;
 
-    /** What a generation in flight adds to the wait for the next prompt, in prompt tokens. */
-    private static final int TOKENS_PER_GENERATION = 60;
+    /** What a generation in flight counts, in prompt tokens: engines with many lose some when they leave. */
+    private static final int TOKENS_PER_GENERATION = 1_000;
 
     /** What the bytes of a generation between zones are worth, in prompt tokens of wait. */
-    private static final int TOKENS_FOR_OTHER_ZONE = 400;
+    private static final int TOKENS_FOR_OTHER_ZONE = 300;
+
+    /** What copying a generation to another zone costs, which takes twice the time of the link, in prompt tokens. */
+    private static final int TOKENS_FOR_MOVE_TO_OTHER_ZONE = 4_000;
 
     /** Entries that share the budgets where their number is not known. */
     private static final int ASSUMED_ENTRIES = 8;
@@ -78,10 +80,12 @@
         Router engineRouter = Router.builder(clock, random)
                 .policy(LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_OTHER_ZONE, random.nextInt()))
                 .build();
+        RoutingPolicy targets =
+                LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_MOVE_TO_OTHER_ZONE, random.nextInt());
         Router plainRouter = Router.builder(clock, random).build();
         ColdCallShare coldCalls = ColdCallShare.create(clock);
         GenerationTable generations = new GenerationTable();
-        inputs.upstreams().listen(new Departures(generations, engineRouter, plainRouter, coldCalls));
+        inputs.upstreams().listen(new Departures(generations, engineRouter, plainRouter, coldCalls, inputs.events()));
         RelayParts parts = new RelayParts(
                 vertx,
                 client,
@@ -89,7 +93,13 @@
                 settings,
                 new CallPlanner(inputs.catalogs(), settings.catalogLifetime(), random),
                 new UpstreamChoice(
-                        settings, inputs.upstreams(), engineRouter, plainRouter, coldCalls, () -> ASSUMED_ENTRIES),
+                        settings,
+                        inputs.upstreams(),
+                        engineRouter,
+                        targets,
+                        plainRouter,
+                        coldCalls,
+                        () -> ASSUMED_ENTRIES),
                 inputs.upstreams(),
                 inputs.codec(),
                 inputs.engines(),
@@ -117,23 +127,4 @@
     public CompletableFuture<Void> stop(Duration grace) {
         return front.stop(grace).thenCompose(drained -> ready.stop(grace));
     }
-
-    /** Moves generations off engines that leave, and forgets what is gone. */
-    private record Departures(GenerationTable generations, Router engines, Router plain, ColdCallShare coldCalls)
-            implements UpstreamListener {
-        @Override
-        public void joined(Upstream upstream) {}
-
-        @Override
-        public void leaving(Upstream upstream, Duration timeLeft) {
-            generations.leaving(upstream.instance(), timeLeft);
-        }
-
-        @Override
-        public void gone(Upstream upstream) {
-            engines.forget(upstream.instance());
-            plain.forget(upstream.instance());
-            coldCalls.forget(upstream.instance());
-        }
-    }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/ReportWatch.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ReportWatch.java
@@ -1,36 +1,60 @@
 package coriandersill.relay.internal;
 
 import coriandersill.core.CallFailure;
+import coriandersill.core.InstanceId;
 import coriandersill.events.EventCode;
+import coriandersill.relay.EngineReport;
+import coriandersill.routing.OthersLoad;
 import coriandersill.upstreams.Upstream;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
-/** Asks the engines themselves whether they leave, while the listings are too old to tell. */
+/**
+ * Asks engines for their reports: what other entries run there, and, while the listings are too old to tell, whether
+ * they leave.
+ *
+ * <p>Confined to one Vert.x context.
+ */
 final class ReportWatch {
-    /** The age of the listings from which engines are asked. */
+    /** The age of the listings from which engines are asked more often. */
     private static final Duration OLD_LISTINGS = Duration.ofSeconds(1);
 
-    /** How often they are asked then. */
-    private static final long PERIOD_MILLIS = 400;
+    /** How often an engine is asked. */
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+
+    /** How often an engine is asked whether it leaves, while the listings do not tell. */
+    private static final Duration SHORT_PERIOD = Duration.ofMillis(400);
+
+    private static final long STEP_MILLIS = 100;
 
     private final RelayParts parts;
+    private final Map<InstanceId, Long> askedAt = new HashMap<>();
 
     ReportWatch(RelayParts parts) {
         this.parts = parts;
     }
 
     void start() {
-        parts.vertx().setPeriodic(PERIOD_MILLIS, timer -> {
-            Duration age = parts.upstreams().age();
-            if (age.compareTo(OLD_LISTINGS) > 0) {
-                for (Upstream engine : parts.upstreams().all()) {
-                    if (parts.generations().any(engine.instance())) {
-                        ask(engine, age);
-                    }
-                }
+        parts.vertx().setPeriodic(STEP_MILLIS, timer -> askThoseDue());
+    }
+
+    private void askThoseDue() {
+        Duration age = parts.upstreams().age();
+        boolean old = age.compareTo(OLD_LISTINGS) > 0;
+        long period = (old ? SHORT_PERIOD : PERIOD).toNanos();
+        long now = parts.clock().nanos();
+        askedAt.keySet().retainAll(parts.upstreams().known());
+        for (Upstream engine : parts.choice().engines()) {
+            // The first question comes at a random moment of the period, so that entries do not ask all at once.
+            long asked = askedAt.computeIfAbsent(
+                    engine.instance(), id -> now - parts.random().nextLong(period));
+            if (now - asked >= period) {
+                askedAt.put(engine.instance(), now);
+                ask(engine, age);
             }
-        });
+        }
     }
 
     private void ask(Upstream engine, Duration age) {
@@ -45,9 +69,25 @@
                                                 String.valueOf(
                                                         CallFailure.from(error).getMessage()),
                                         "listings_age_ms", age.toMillis()));
-            } else if (report.leaving() || report.leavesIn().isPresent()) {
+                return;
+            }
+            parts.workers().executeOrRun(() -> parts.choice().others(engine, others(engine, report)));
+            if (report.leaving() || report.leavesIn().isPresent()) {
                 parts.upstreams().saysLeaving(engine.instance());
             }
         });
     }
+
+    private OthersLoad others(Upstream engine, EngineReport report) {
+        Set<String> own = parts.generations().ids(engine.instance());
+        int runs = 0;
+        long tokens = 0;
+        for (EngineReport.ReportedRun run : report.runs()) {
+            if (!own.contains(run.id())) {
+                runs++;
+                tokens += run.tokens();
+            }
+        }
+        return new OthersLoad(runs, tokens, 0);
+    }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -2,13 +2,16 @@
 
 import coriandersill.catalog.EngineRule;
 import coriandersill.core.InstanceId;
+import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
 import coriandersill.relay.RelaySettings;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.Candidate;
 import coriandersill.routing.CandidateInfo;
+import coriandersill.routing.OthersLoad;
 import coriandersill.routing.RouteRequest;
 import coriandersill.routing.Router;
+import coriandersill.routing.RoutingPolicy;
 import coriandersill.upstreams.ColdCallShare;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamTable;
@@ -16,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
 
 /** Chooses the upstream of a call among those that are in service now, and keeps the books of what is in flight. */
@@ -26,20 +30,24 @@
     private final RelaySettings settings;
     private final UpstreamTable upstreams;
     private final Router engines;
+    private final RoutingPolicy targets;
     private final Router plain;
     private final ColdCallShare coldCalls;
     private final IntSupplier entries;
+    private final Set<ServiceName> engineServices = ConcurrentHashMap.newKeySet();
 
     UpstreamChoice(
             RelaySettings settings,
             UpstreamTable upstreams,
             Router engines,
+            RoutingPolicy targets,
             Router plain,
             ColdCallShare coldCalls,
             IntSupplier entries) {
         this.settings = settings;
         this.upstreams = upstreams;
         this.engines = engines;
+        this.targets = targets;
         this.plain = plain;
         this.coldCalls = coldCalls;
         this.entries = entries;
@@ -55,6 +63,9 @@
                 .toList();
         Set<InstanceId> avoided = new HashSet<>(excluded);
         boolean engine = plan.service().engine().isPresent();
+        if (engine) {
+            engineServices.add(plan.service().name());
+        }
         while (true) {
             RouteRequest request = request(plan, avoided);
             Optional<Candidate> candidate = router(engine).select(request, infos(plan, known));
@@ -85,12 +96,24 @@
                 .toList();
         RouteRequest request = new RouteRequest(
                 plan.service().name(), plan.route().name(), ANY_VERSION, source.zone(), 0, 0, tokens, excluded);
-        return engines.select(request, infos(plan, known)).flatMap(candidate -> known.stream()
+        return engines.select(request, infos(plan, known), targets).flatMap(candidate -> known.stream()
                 .filter(upstream -> upstream.instance().equals(candidate.instance()))
                 .findFirst()
                 .map(upstream -> new Chosen(upstream, request, true)));
     }
 
+    /** Returns the engines that are listed, those that leave included. */
+    List<Upstream> engines() {
+        return upstreams.all().stream()
+                .filter(upstream -> engineServices.contains(upstream.service()))
+                .toList();
+    }
+
+    /** Notes what other entries run at an engine. */
+    void others(Upstream engine, OthersLoad load) {
+        engines.others(engine.instance(), load);
+    }
+
     /** Notes that the first event of a generation has come: its prompt is read. */
     void promptRead(Chosen chosen, CallPlan plan) {
         engines.unreadPrompt(chosen.upstream().instance(), -plan.promptTokens());
--- a/routing/src/main/java/coriandersill/routing/Router.java
+++ b/routing/src/main/java/coriandersill/routing/Router.java
@@ -59,8 +59,14 @@
      * @return the choice, or nothing when no instance of the version is left that is in service and untried
      */
     public Optional<Candidate> select(RouteRequest request, Collection<CandidateInfo> known) {
+        return select(request, known, policy);
+    }
+
+    /** Chooses like {@link #select(RouteRequest, Collection)}, by another policy than the router's own. */
+    public Optional<Candidate> select(
+            RouteRequest request, Collection<CandidateInfo> known, RoutingPolicy otherPolicy) {
         return lock.with(() -> {
-            Optional<Candidate> choice = choose(request, known, clock.nanos());
+            Optional<Candidate> choice = choose(request, known, otherPolicy, clock.nanos());
             choice.ifPresent(candidate -> instances.reserve(candidate.instance(), request.predictedTokens()));
             return choice;
         });
@@ -121,14 +127,15 @@
         return lock.with(() -> instances.inFlight(instance));
     }
 
-    private Optional<Candidate> choose(RouteRequest request, Collection<CandidateInfo> known, long now) {
+    private Optional<Candidate> choose(
+            RouteRequest request, Collection<CandidateInfo> known, RoutingPolicy chooser, long now) {
         Map<InstanceId, Double> reduced = detector.reducedShares(request, now);
         List<Candidate> usual = new ArrayList<>(known.size());
         if (reduced.isEmpty() && zones.isIdle()) {
             for (CandidateInfo info : known) {
                 usual.add(instances.candidate(info, now));
             }
-            return policy.choose(request, usual);
+            return chooser.choose(request, usual);
         }
         Map<Object, Recovering> recovering = new LinkedHashMap<>();
         List<Candidate> ejected = new ArrayList<>();
@@ -151,12 +158,16 @@
                 usual.add(candidate);
             }
         }
-        return chooseByShare(request, usual, List.copyOf(recovering.values()), ejected);
+        return chooseByShare(request, usual, List.copyOf(recovering.values()), ejected, chooser);
     }
 
     /** Gives each recovering group its part of its usual share, and what is left to the others. */
     private Optional<Candidate> chooseByShare(
-            RouteRequest request, List<Candidate> usual, List<Recovering> recovering, List<Candidate> ejected) {
+            RouteRequest request,
+            List<Candidate> usual,
+            List<Recovering> recovering,
+            List<Candidate> ejected,
+            RoutingPolicy chooser) {
         int total = usual.size();
         for (Recovering group : recovering) {
             total += group.candidates().size();
@@ -165,15 +176,15 @@
         for (Recovering group : recovering) {
             draw -= group.share() * group.candidates().size() / total;
             if (draw < 0) {
-                return policy.choose(request, group.candidates());
+                return chooser.choose(request, group.candidates());
             }
         }
         if (!usual.isEmpty()) {
-            return policy.choose(request, usual);
+            return chooser.choose(request, usual);
         }
         List<Candidate> rest = new ArrayList<>();
         recovering.forEach(group -> rest.addAll(group.candidates()));
-        return policy.choose(request, rest.isEmpty() ? ejected : rest);
+        return chooser.choose(request, rest.isEmpty() ? ejected : rest);
     }
 
     /** Candidates that share one reduced share. */
