--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -149,7 +149,8 @@
             return;
         }
         parts.generations().remove(target.upstream().instance(), this);
-        attemptFailed(target, events > 0 ? interrupted(failure) : failure);
+        boolean lost = events > 0 && !plan.route().resumable();
+        attemptFailed(target, lost ? interrupted(failure) : failure);
     }
 
     private static CallFailure interrupted(CallFailure failure) {
