Move a generation as often as its engines leave; refuse what a stopping entry cannot finish

Ruled out: a later end of the process; the grace is the platform's. Change: a stream that breaks while a move is under way belongs to the move; targets keep room for what other entries run at the same engine; short generations go where prompts wait least; an entry that stops refuses calls that would not end in time, with 503 and a moment to come back elsewhere.

--- a/relay/src/main/java/coriandersill/relay/internal/CallPlan.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallPlan.java
@@ -24,6 +24,8 @@
         Optional<WorkspaceName> workspace,
         Duration timeAllowed,
         long catalogVersion) {
+    /** An engine reads about so many tokens of a prompt in the time of a step, which makes one token. */
+    private static final int PROMPT_TOKENS_PER_OUTPUT_TOKEN = 50;
 
     /** The memory that the call is predicted to hold at its end, in tokens; 0 for plain calls. */
     int predictedTokens() {
@@ -32,6 +34,13 @@
                 .orElse(0);
     }
 
+    /** Whether reading the prompt takes most of the generation's time. */
+    boolean shortGeneration() {
+        return request.prompt()
+                .filter(prompt -> prompt.likelyOutputTokens() * PROMPT_TOKENS_PER_OUTPUT_TOKEN < prompt.tokens())
+                .isPresent();
+    }
+
     /** The tokens of the prompt; 0 for plain calls. */
     int promptTokens() {
         return request.prompt().map(CallRequest.Prompt::tokens).orElse(0);
--- a/relay/src/main/java/coriandersill/relay/internal/FrontServer.java
+++ b/relay/src/main/java/coriandersill/relay/internal/FrontServer.java
@@ -1,6 +1,7 @@
 package coriandersill.relay.internal;
 
 import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
 import coriandersill.core.ManagedService;
 import coriandersill.events.EventCode;
 import coriandersill.relay.CallRequest;
@@ -28,9 +29,19 @@
     /** A stopping server stays at least so long, while callers learn of it and new connections go elsewhere. */
     private static final Duration SHORTEST_DRAIN = Duration.ofMillis(2_500);
 
+    /** How long an engine that is busy takes to read a long prompt. */
+    private static final Duration PROMPT_TIME = Duration.ofMillis(1_500);
+
+    /** How long an engine that is busy takes for a token. */
+    private static final Duration TOKEN_TIME = Duration.ofMillis(15);
+
+    /** Another entry takes the call at once. */
+    private static final Duration COME_BACK_ELSEWHERE = Duration.ofMillis(10);
+
     private final RelayParts parts;
     private final AtomicInteger open = new AtomicInteger();
     private HttpServer server;
+    private volatile long stopsAt;
     private volatile boolean stopping;
 
     FrontServer(RelayParts parts) {
@@ -69,8 +80,9 @@
             drained.complete(null);
             return drained;
         }
-        stopping = true;
         long begun = parts.clock().nanos();
+        stopsAt = begun + grace.toNanos();
+        stopping = true;
         parts.vertx().setPeriodic(DRAIN_STEP_MILLIS, timer -> {
             long past = parts.clock().nanos() - begun;
             boolean idle = open.get() == 0 && past > SHORTEST_DRAIN.toNanos();
@@ -121,6 +133,14 @@
     }
 
     private void begin(CallPlan plan, Buffer body, Caller caller, long arrived) {
+        if (stopping && !endsInTime(plan)) {
+            refuse(
+                    caller,
+                    plan.request().id(),
+                    CallFailure.of(ErrorKind.DRAINING, "this entry stops before the call would end")
+                            .withRetryAfter(COME_BACK_ELSEWHERE));
+            return;
+        }
         CallTrace trace = new CallTrace(parts.events(), plan.request().id());
         trace.note(
                 EventCode.CALL_TAKEN,
@@ -140,6 +160,17 @@
         call.start();
     }
 
+    /** Whether a call that comes while the entry stops is likely to end before it does. */
+    private boolean endsInTime(CallPlan plan) {
+        long left = stopsAt - parts.clock().nanos();
+        long needed = plan.request()
+                .prompt()
+                .map(prompt -> PROMPT_TIME.plus(TOKEN_TIME.multipliedBy(prompt.maxOutputTokens())))
+                .orElse(plan.timeAllowed())
+                .toNanos();
+        return Math.min(needed, plan.timeAllowed().toNanos()) < left;
+    }
+
     private void refuse(Caller caller, String id, CallFailure failure) {
         parts.meters().failed(failure.kind());
         parts.events()
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -284,7 +284,7 @@
             CallFailure cause = broke.kind() == ErrorKind.UNAVAILABLE ? broke.withRan(Ran.NO) : broke;
             if (copy != null && !progressed && move != null && cause.ran() == Ran.NO) {
                 move.continuationRefused(cause);
-            } else if (move != null && copy == null) {
+            } else if (move != null) {
                 afterStop = () -> broken(target, cause);
                 move.streamBroke();
             } else {
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -32,6 +32,9 @@
     /** What a generation in flight counts, in prompt tokens: engines with many lose some when they leave. */
     private static final int TOKENS_PER_GENERATION = 1_000;
 
+    /** What a generation in flight adds to the wait for a first token, in prompt tokens. */
+    private static final int TOKENS_PER_GENERATION_IN_A_STEP = 100;
+
     /** What the bytes of a generation between zones are worth, in prompt tokens of wait. */
     private static final int TOKENS_FOR_OTHER_ZONE = 300;
 
@@ -80,6 +83,8 @@
         Router engineRouter = Router.builder(clock, random)
                 .policy(LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_OTHER_ZONE, random.nextInt()))
                 .build();
+        RoutingPolicy soonest =
+                LeastPromptBacklog.of(TOKENS_PER_GENERATION_IN_A_STEP, TOKENS_FOR_OTHER_ZONE, random.nextInt());
         RoutingPolicy targets =
                 LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_MOVE_TO_OTHER_ZONE, random.nextInt());
         Router plainRouter = Router.builder(clock, random).build();
@@ -96,6 +101,7 @@
                         settings,
                         inputs.upstreams(),
                         engineRouter,
+                        soonest,
                         targets,
                         plainRouter,
                         coldCalls,
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -30,6 +30,7 @@
     private final RelaySettings settings;
     private final UpstreamTable upstreams;
     private final Router engines;
+    private final RoutingPolicy soonest;
     private final RoutingPolicy targets;
     private final Router plain;
     private final ColdCallShare coldCalls;
@@ -40,6 +41,7 @@
             RelaySettings settings,
             UpstreamTable upstreams,
             Router engines,
+            RoutingPolicy soonest,
             RoutingPolicy targets,
             Router plain,
             ColdCallShare coldCalls,
@@ -47,6 +49,7 @@
         this.settings = settings;
         this.upstreams = upstreams;
         this.engines = engines;
+        this.soonest = soonest;
         this.targets = targets;
         this.plain = plain;
         this.coldCalls = coldCalls;
@@ -68,7 +71,7 @@
         }
         while (true) {
             RouteRequest request = request(plan, avoided);
-            Optional<Candidate> candidate = router(engine).select(request, infos(plan, known));
+            Optional<Candidate> candidate = select(plan, request, known);
             if (candidate.isEmpty()) {
                 return Optional.empty();
             }
@@ -87,6 +90,14 @@
         }
     }
 
+    private Optional<Candidate> select(CallPlan plan, RouteRequest request, List<Upstream> known) {
+        List<CandidateInfo> infos = infos(plan, known);
+        if (plan.service().engine().isEmpty()) {
+            return plain.select(request, infos);
+        }
+        return plan.shortGeneration() ? engines.select(request, infos, soonest) : engines.select(request, infos);
+    }
+
     /** Chooses the engine that a running generation moves to, and counts the generation there. */
     Optional<Chosen> chooseTarget(CallPlan plan, Upstream source, Set<InstanceId> excluded, int tokens) {
         List<Upstream> known = upstreams.inService(plan.service().name()).stream()
@@ -95,13 +106,31 @@
                 .filter(upstream -> allowedRegion(plan, upstream))
                 .toList();
         RouteRequest request = new RouteRequest(
-                plan.service().name(), plan.route().name(), ANY_VERSION, source.zone(), 0, 0, tokens, excluded);
+                plan.service().name(),
+                plan.route().name(),
+                ANY_VERSION,
+                source.zone(),
+                0,
+                0,
+                tokens + othersShare(plan, source, known),
+                excluded);
         return engines.select(request, infos(plan, known), targets).flatMap(candidate -> known.stream()
                 .filter(upstream -> upstream.instance().equals(candidate.instance()))
                 .findFirst()
                 .map(upstream -> new Chosen(upstream, request, true)));
     }
 
+    /**
+     * The memory that other entries' generations will take at each engine of the zone, as they move at the same time.
+     */
+    private int othersShare(CallPlan plan, Upstream source, List<Upstream> known) {
+        long others = engines.view(infos(plan, List.of(source))).get(0).othersTokens();
+        long targetsNear = known.stream()
+                .filter(upstream -> upstream.zone().equals(source.zone()))
+                .count();
+        return (int) (others / Math.max(1, targetsNear));
+    }
+
     /** Returns the engines that are listed, those that leave included. */
     List<Upstream> engines() {
         return upstreams.all().stream()
