--- a/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
@@ -42,7 +42,9 @@
                 "routing",
                 "admission",
                 "quota",
-                "rollout"
+                "rollout",
+                "catalog",
+                "upstreams"
             })
     void aDecisionLibraryDependsOnCoreAndTheJdkOnlyAndReadsNoClockOfItsOwn(String module) throws IOException {
         List<String> offences = new ArrayList<>();
@@ -78,6 +80,28 @@
         assertThat(documented, is(coded));
     }
 
+    @Test
+    void nothingOutsideTheAdapterNamesThePlatformsHeadersTopicsOrCalls() throws IOException {
+        Pattern names =
+                Pattern.compile("X-Coriandersill-|Kv-From|Kv-Fetch|keyed\\.(op|servers|status)|/v1/(log|kv|hold)-"
+                        + "|CORIANDERSILL_CONFIG|kv_cache|heartbeat_interval_ms");
+        List<String> offences = new ArrayList<>();
+        try (Stream<Path> modules = Files.list(ROOT)) {
+            for (Path module :
+                    modules.filter(path -> !path.endsWith("platform")).toList()) {
+                Path code = module.resolve("src/main/java");
+                if (Files.isDirectory(code)) {
+                    for (Path file : sources(code)) {
+                        if (names.matcher(Files.readString(file)).find()) {
+                            offences.add(file.toString());
+                        }
+                    }
+                }
+            }
+        }
+        assertThat(offences, is(empty()));
+    }
+
     @Test
     void noTwoEventsShareANumber() {
         long distinct = Arrays.stream(EventCode.values())
--- a/relay/src/main/java/coriandersill/relay/RelaySettings.java
+++ b/relay/src/main/java/coriandersill/relay/RelaySettings.java
@@ -15,7 +15,6 @@
  * @param regions the region of each availability zone, by the zone's name
  * @param retryRatio repeats that all entries together may make of each service's requests
  * @param retryExtra repeats that they may make beyond that
- * @param retryWindow the time over which both count
  * @param coldFactor how far the calls to a cold upstream may exceed what its service declares
  * @param coldExtra calls a second that are allowed beyond that
  * @param catalogLifetime the age of the catalog from which an unknown key or route may be a new one
@@ -29,7 +28,6 @@
         Map<String, String> regions,
         double retryRatio,
         double retryExtra,
-        Duration retryWindow,
         double coldFactor,
         double coldExtra,
         Duration catalogLifetime) {}
--- a/relay/src/main/java/coriandersill/relay/internal/CallPlanner.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallPlanner.java
@@ -17,6 +17,9 @@
 
 /** Decides what a call may do by the newest catalog: its route, workspace, service and time. */
 final class CallPlanner {
+    /** Holds until the first catalog is known. */
+    private static final long DEFAULT_BODY_BYTES = 4L * 1024 * 1024;
+
     private final CatalogTable catalogs;
     private final Duration catalogLifetime;
     private final RandomGenerator random;
@@ -49,6 +52,11 @@
         return new CallPlan(request, route, service, workspace, allowed, catalog.version());
     }
 
+    /** The largest body that a caller may send. */
+    long largestBody() {
+        return catalogs.newest().map(catalog -> catalog.limits().bodyBytes()).orElse(DEFAULT_BODY_BYTES);
+    }
+
     /** A key or route that an old catalog does not have may have been added since: the call is not refused for good. */
     private CallFailure unknown(ErrorKind kind, String message) {
         Duration age = catalogs.age();
--- a/relay/src/main/java/coriandersill/relay/internal/FailureAnswers.java
+++ b/relay/src/main/java/coriandersill/relay/internal/FailureAnswers.java
@@ -10,7 +10,6 @@
     private static final int UNAUTHORIZED = 401;
     private static final int FORBIDDEN = 403;
     private static final int NOT_FOUND = 404;
-    private static final int TOO_LARGE = 413;
     private static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -28,11 +27,6 @@
         };
     }
 
-    /** The status of a body over the limit. */
-    static int tooLarge() {
-        return TOO_LARGE;
-    }
-
     private static int unknown(ErrorKind kind) {
         return kind == ErrorKind.DEADLINE_EXCEEDED ? GATEWAY_TIMEOUT : BAD_GATEWAY;
     }
--- a/relay/src/main/java/coriandersill/relay/internal/FrontServer.java
+++ b/relay/src/main/java/coriandersill/relay/internal/FrontServer.java
@@ -20,7 +20,6 @@
 final class FrontServer implements ManagedService {
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_LINE_BYTES = 16_384;
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final int BACKLOG = 1_024;
 
     /** How often a stopping server looks whether its calls have ended. */
@@ -109,14 +108,22 @@
             return;
         }
         Buffer body = Buffer.buffer();
+        long largest = parts.planner().largestBody();
         request.handler(bytes -> {
-            if (body.length() + bytes.length() <= MAX_BODY_BYTES) {
+            if (body.length() <= largest) {
                 body.appendBuffer(bytes);
+            }
+        });
+        request.endHandler(whole -> {
+            if (body.length() > largest) {
+                refuse(
+                        caller,
+                        decoded.id(),
+                        CallFailure.of(ErrorKind.INVALID_REQUEST, "body: expected at most " + largest + " bytes"));
             } else {
-                request.connection().close();
+                plan(decoded, body, caller, arrived);
             }
         });
-        request.endHandler(whole -> plan(decoded, body, caller, arrived));
     }
 
     private void plan(CallRequest request, Buffer body, Caller caller, long arrived) {
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -106,6 +106,7 @@
         if (!over) {
             over = true;
             releaseTarget();
+            releaseCopy();
         }
     }
 
@@ -217,6 +218,7 @@
         if (!over) {
             over = true;
             releaseTarget();
+            releaseCopy();
             parts.meters().count("relay.generation.moves_failed");
             call.moveEnded();
         }
@@ -236,6 +238,18 @@
         }
     }
 
+    /** Frees the copy at both engines; that of a run that has stopped is all that is left of it and stays. */
+    private void releaseCopy() {
+        if (copy != null && !stopping) {
+            RunCopy unused = copy;
+            parts.engines().release(unused).whenComplete((done, error) -> {
+                if (error != null) {
+                    note("the copy was not freed: " + CallFailure.from(error).getMessage());
+                }
+            });
+        }
+    }
+
     private void free(UpstreamChoice.Chosen held) {
         parts.workers().executeOrRun(() -> parts.choice().finished(held, CallResult.failed(ErrorKind.DRAINING)));
     }
--- /dev/null
+++ b/relay/src/test/java/coriandersill/relay/internal/EventSplitterTest.java
@@ -0,0 +1,45 @@
+package coriandersill.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class EventSplitterTest {
+    private static final String STREAM = "id: 4\ndata: a\n\nversion: 2\nid: 5\ndata: b\n\nid: 6\nda";
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 1_000})
+    void wholeEventsComeOutHoweverTheBytesAreCut(int size) {
+        EventSplitter splitter = new EventSplitter();
+        List<Long> ids = new ArrayList<>();
+        StringBuilder passedOn = new StringBuilder();
+        for (int at = 0; at < STREAM.length(); at += size) {
+            Buffer part = Buffer.buffer(STREAM.substring(at, Math.min(STREAM.length(), at + size)));
+            for (EventSplitter.Event event : splitter.feed(part)) {
+                ids.add(event.id());
+                passedOn.append(event.bytes());
+            }
+        }
+
+        assertThat(ids, is(List.of(4L, 5L)));
+        assertThat(passedOn.toString() + splitter.rest(), is(STREAM));
+    }
+
+    @Test
+    void anEventMayEndWithCarriageReturns() {
+        List<EventSplitter.Event> events = new EventSplitter().feed(Buffer.buffer("id: 1\r\ndata: a\r\n\r\n"));
+
+        assertThat(events.get(0).id(), is(1L));
+    }
+
+    @Test
+    void anIdentifierThatIsNoNumberIsNone() {
+        assertThat(new EventSplitter().feed(Buffer.buffer("id: x\n\n")).get(0).id(), is(EventSplitter.NO_ID));
+    }
+}
