Explain a call from log files; describe the platform's path, its rules, metrics and open points

Cause: who looks for the cause of a failed call had the lines but no command, page or list of metrics. Change: bin/coriandersill explain; design/platform.md, OPERATIONS, GLOSSARY, CONTRIBUTING, README, CHANGELOG.

--- a/cli/src/main/java/coriandersill/cli/Tool.java
+++ b/cli/src/main/java/coriandersill/cli/Tool.java
@@ -5,6 +5,7 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import coriandersill.cli.internal.ConfigCommands;
+import coriandersill.cli.internal.ExplainCommand;
 import coriandersill.cli.internal.InspectCommands;
 import coriandersill.cli.internal.RolloutCommands;
 import coriandersill.cli.internal.ToolCommand;
@@ -55,7 +56,8 @@
                         InspectCommands.Upstreams.class,
                         InspectCommands.Workspaces.class,
                         InspectCommands.Audit.class,
-                        InspectCommands.Events.class);
+                        InspectCommands.Events.class,
+                        ExplainCommand.class);
         builder.withGroup("config")
                 .withDescription("Documents of the agreement")
                 .withCommands(
