--- a/events/src/main/java/coriandersill/events/BoundedLogHandler.java
+++ b/events/src/main/java/coriandersill/events/BoundedLogHandler.java
@@ -1,7 +1,12 @@
 package coriandersill.events;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -22,6 +27,8 @@
  * <p>A line that finds the queue full is dropped and counted; the next line that is written is preceded by the count.
  */
 public final class BoundedLogHandler extends Handler {
+    private static final JsonFactory JSON = new JsonFactory();
+
     private final BlockingQueue<String> queue;
     private final AtomicLong dropped = new AtomicLong();
     private final PrintStream out;
@@ -54,13 +61,31 @@
         if (!isLoggable(record)) {
             return;
         }
-        String line =
-                record.getThrown() == null ? record.getMessage() : record.getMessage() + ": " + record.getThrown();
-        if (!queue.offer(line)) {
+        boolean event = JsonEventLog.LOGGER_NAME.equals(record.getLoggerName());
+        if (!queue.offer(event ? record.getMessage() : wrapped(record))) {
             dropped.incrementAndGet();
         }
     }
 
+    /** Returns a library's line as JSON, so that every line can be parsed. */
+    private static String wrapped(LogRecord record) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeStringField("name", "LIBRARY");
+            json.writeStringField("level", record.getLevel().getName());
+            json.writeStringField("logger", String.valueOf(record.getLoggerName()));
+            json.writeStringField("text", String.valueOf(record.getMessage()));
+            if (record.getThrown() != null) {
+                json.writeStringField("error", record.getThrown().toString());
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("a string writer does not fail", e);
+        }
+        return text.toString();
+    }
+
     @Override
     public void flush() {}
 
--- a/events/src/main/java/coriandersill/events/JsonEventLog.java
+++ b/events/src/main/java/coriandersill/events/JsonEventLog.java
@@ -17,7 +17,10 @@
  * }</pre>
  */
 public final class JsonEventLog implements EventLog {
-    private static final System.Logger LOGGER = System.getLogger("coriandersill");
+    /** The logger that all events go to. */
+    static final String LOGGER_NAME = "coriandersill";
+
+    private static final System.Logger LOGGER = System.getLogger(LOGGER_NAME);
     private static final JsonFactory JSON = new JsonFactory();
 
     private final String instance;
--- a/relay/src/main/java/coriandersill/relay/internal/ReportWatch.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ReportWatch.java
@@ -8,6 +8,7 @@
 import coriandersill.upstreams.Upstream;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -21,9 +22,12 @@
     /** The age of the listings from which engines are asked more often. */
     private static final Duration OLD_LISTINGS = Duration.ofSeconds(1);
 
-    /** How often an engine is asked. */
+    /** How often an engine is asked where there are few. */
     private static final Duration PERIOD = Duration.ofSeconds(1);
 
+    /** Each engine adds so much to the period, so that an entry's questions a second stay bounded. */
+    private static final Duration PERIOD_EACH = Duration.ofMillis(100);
+
     /** How often an engine is asked whether it leaves, while the listings do not tell. */
     private static final Duration SHORT_PERIOD = Duration.ofMillis(400);
 
@@ -43,10 +47,11 @@
     private void askThoseDue() {
         Duration age = parts.upstreams().age();
         boolean old = age.compareTo(OLD_LISTINGS) > 0;
-        long period = (old ? SHORT_PERIOD : PERIOD).toNanos();
+        List<Upstream> engines = parts.choice().engines();
+        long period = old ? SHORT_PERIOD.toNanos() : period(engines.size());
         long now = parts.clock().nanos();
         askedAt.keySet().retainAll(parts.upstreams().known());
-        for (Upstream engine : parts.choice().engines()) {
+        for (Upstream engine : engines) {
             // The first question comes at a random moment of the period, so that entries do not ask all at once.
             long asked = askedAt.computeIfAbsent(
                     engine.instance(), id -> now - parts.random().nextLong(period));
@@ -57,6 +62,10 @@
         }
     }
 
+    private static long period(int engines) {
+        return Math.max(PERIOD.toNanos(), PERIOD_EACH.toNanos() * engines);
+    }
+
     private void ask(Upstream engine, Duration age) {
         parts.engines().report(engine).whenComplete((report, error) -> {
             if (error != null) {
