Try a move again while its engine is still there; wait for the frames in a test that looked too early

Cause: a generation whose targets all had no room was not moved again before its engine went. And SidecarWireTest.aCancelThatFollowsItsDispatchAtOnceIsNeverOvertakenByIt failed once beside other load (0.037 s after its start): it looked at an idle sidecar before the first dispatch had arrived, and then at one that had work. Ruled out for the test: an overtaken cancel; the check ended before any frame could have been taken. Change: another move begins 150 ms after one that failed. The test sends one more generation on the same connection and waits for its end, which comes after all frames before it; its check is unchanged and now always made after the cancels.

--- a/functional/src/test/java/coriandersill/functional/SidecarWireTest.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarWireTest.java
@@ -200,6 +200,9 @@
                     new Message.Dispatch(one, all.target(), all.remaining(), 1, 1, 200, all.work(), Optional.empty()));
             entry.connection.send(new Message.Cancel(one));
         }
+        // Frames of a connection are taken in order: once this generation has finished, all cancels have been taken.
+        entry.connection.send(dispatch(5, 200));
+        Await.until(() -> !entry.received.isEmpty() && entry.last() instanceof Message.Finished);
         Await.until(() -> sidecar.idle() && engine.books().running() == 0);
         assertThat(sidecar.admission().load().running(), is(0));
     }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -23,6 +23,15 @@
     /** How long a continuation may take to begin before it counts as failed. */
     private static final long CONTINUATION_MILLIS = 2_000;
 
+    /** How long after a move that failed the next one begins, while the engine is still there. */
+    private static final long NEXT_MOVE_MILLIS = 150;
+
+    /** How long a next move has at most: most of the engine's notice is over. */
+    private static final Duration NEXT_MOVE_TIME = Duration.ofMillis(500);
+
+    /** How long a move has for a run that began while its engine was leaving already. */
+    private static final Duration LATE_MOVE_TIME = Duration.ofSeconds(1);
+
     private final Context context;
     private AnswerHead pendingHead;
     private boolean headSent;
@@ -108,6 +117,8 @@
         afterStop = null;
         if (pending != null && !over()) {
             pending.run();
+        } else if (!over() && parts.upstreams().leaving(chosen.upstream().instance())) {
+            parts.vertx().setTimer(NEXT_MOVE_MILLIS, timer -> startMove(NEXT_MOVE_TIME));
         }
     }
 
@@ -213,7 +224,7 @@
                 move = null;
             }
             if (parts.upstreams().leaving(target.upstream().instance())) {
-                startMove(Duration.ofSeconds(1));
+                startMove(LATE_MOVE_TIME);
             }
         }
 
