Move generations off an engine that leaves one after another

Its link carries one copy at a time; all moves asked at once, so the last part of each, for which its run has stopped, waited behind the whole copies of all others. Ruled out: room at the targets (no copy found none), a slow notice (15 ms). Change: every entry asks the engine for its report at the notice and derives the same order from it, small generations first, so that each knows when the link is free for its own. Where the time allows copies between zones, targets are chosen in any zone, so that loads spread. New events 423 and 424 tell of each copying and of the plan. What is left are engines with six or more generations.

--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -81,6 +81,10 @@
     GENERATION_MOVED(421, Level.INFO, "generation moved"),
     /** A step of a move failed. */
     GENERATION_MOVE_HINDERED(422, Level.INFO, "move hindered"),
+    /** A copying of a running generation to another engine ended. */
+    GENERATION_COPIED(423, Level.INFO, "generation copied"),
+    /** The order of moves off an engine that leaves is decided. */
+    MOVES_PLANNED(424, Level.INFO, "moves planned"),
     /** An upstream is cold again. */
     UPSTREAM_COLD(500, Level.WARNING, "upstream is cold"),
     /** An upstream has proven its full limit. */
--- a/relay/src/main/java/coriandersill/relay/internal/Departures.java
+++ b/relay/src/main/java/coriandersill/relay/internal/Departures.java
@@ -10,7 +10,13 @@
 import java.util.Map;
 
 /** Moves generations off engines that leave, and forgets upstreams that are gone. */
-record Departures(GenerationTable generations, Router engines, Router plain, ColdCallShare coldCalls, EventLog events)
+record Departures(
+        GenerationTable generations,
+        MovePlanner moves,
+        Router engines,
+        Router plain,
+        ColdCallShare coldCalls,
+        EventLog events)
         implements UpstreamListener {
     @Override
     public void joined(Upstream upstream) {
@@ -30,7 +36,7 @@
                         "said_so", upstream.leaving(),
                         "own_generations", generations.ids(upstream.instance()).size(),
                         "time_left_ms", timeLeft.toMillis()));
-        generations.leaving(upstream.instance(), timeLeft);
+        moves.leaving(upstream, timeLeft);
     }
 
     @Override
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -7,6 +7,7 @@
 import coriandersill.relay.AnswerHead;
 import coriandersill.relay.RunCopy;
 import coriandersill.routing.CallResult;
+import coriandersill.upstreams.Upstream;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -73,25 +74,37 @@
         }
     }
 
-    /** Hears from any thread that the engine leaves. */
-    void engineLeaves(Duration timeLeft) {
-        context.runOnContext(ignored -> startMove(timeLeft));
+    /**
+     * Hears from any thread that its engine leaves, and that it moves after {@code startIn}.
+     *
+     * @param timeLeft how long the move may take
+     * @param anyZone whether there is time for copies to another zone
+     */
+    void moveOff(Upstream engine, Duration startIn, Duration timeLeft, boolean anyZone) {
+        context.runOnContext(ignored -> {
+            if (startIn.toMillis() <= 0) {
+                moveIfAt(engine, timeLeft, anyZone);
+            } else {
+                parts.vertx().setTimer(startIn.toMillis(), timer -> moveIfAt(engine, timeLeft, anyZone));
+            }
+        });
     }
 
-    /** The tokens that the generation holds in memory by now, and those that it is likely to add. */
-    int tokensAtEnd() {
-        return plan.predictedTokens();
+    private void moveIfAt(Upstream engine, Duration timeLeft, boolean anyZone) {
+        if (chosen.upstream().instance().equals(engine.instance())) {
+            startMove(timeLeft, anyZone);
+        }
     }
 
-    private void startMove(Duration timeLeft) {
+    private void startMove(Duration timeLeft, boolean anyZone) {
         if (!over() && move == null && exchange != null && worthMoving()) {
-            move = new GenerationMove(this, chosen, timeLeft);
+            move = new GenerationMove(this, chosen, timeLeft, anyZone);
             move.start();
         }
     }
 
     /** A short generation that may be resumed elsewhere ends, or starts again, sooner than it is moved. */
-    private boolean worthMoving() {
+    boolean worthMoving() {
         return plan.service().engine().filter(engine -> engine.moves()).isPresent()
                 && !plan.route().resumable();
     }
@@ -118,7 +131,7 @@
         if (pending != null && !over()) {
             pending.run();
         } else if (!over() && parts.upstreams().leaving(chosen.upstream().instance())) {
-            parts.vertx().setTimer(NEXT_MOVE_MILLIS, timer -> startMove(NEXT_MOVE_TIME));
+            parts.vertx().setTimer(NEXT_MOVE_MILLIS, timer -> startMove(NEXT_MOVE_TIME, false));
         }
     }
 
@@ -155,7 +168,7 @@
         if (!plan.route().resumable() && !rescued && events > 0 && worthMoving()) {
             rescued = true;
             afterStop = () -> broken(target, failure);
-            move = new GenerationMove(this, target, Duration.ZERO);
+            move = new GenerationMove(this, target, Duration.ZERO, false);
             move.start();
             return;
         }
@@ -224,7 +237,7 @@
                 move = null;
             }
             if (parts.upstreams().leaving(target.upstream().instance())) {
-                startMove(LATE_MOVE_TIME);
+                startMove(LATE_MOVE_TIME, false);
             }
         }
 
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -36,6 +36,7 @@
     private final RelayParts parts;
     private final UpstreamChoice.Chosen source;
     private final Duration timeLeft;
+    private final boolean anyZone;
     private final long startedAt;
     private final Set<InstanceId> excluded = new HashSet<>();
     private UpstreamChoice.Chosen target;
@@ -45,11 +46,12 @@
     private long stoppedAt;
     private RunCopy copy;
 
-    GenerationMove(GenerationCall call, UpstreamChoice.Chosen source, Duration timeLeft) {
+    GenerationMove(GenerationCall call, UpstreamChoice.Chosen source, Duration timeLeft, boolean anyZone) {
         this.call = call;
         this.parts = call.parts;
         this.source = source;
         this.timeLeft = timeLeft;
+        this.anyZone = anyZone;
         this.startedAt = parts.clock().nanos();
     }
 
@@ -115,19 +117,18 @@
             return;
         }
         Set<InstanceId> tried = Set.copyOf(excluded);
-        call.onWorker(
-                () -> parts.choice().chooseTarget(call.plan, source.upstream(), tried, call.tokensAtEnd()), found -> {
-                    if (over) {
-                        found.ifPresent(this::free);
-                    } else if (found.isPresent()) {
-                        target = found.get();
-                        copyOnce();
-                    } else if (excluded.isEmpty() && !late()) {
-                        parts.vertx().setTimer(AGAIN_MILLIS, timer -> findTarget());
-                    } else {
-                        fail("no engine takes it");
-                    }
-                });
+        call.onWorker(() -> parts.choice().chooseTarget(call.plan, source.upstream(), tried, anyZone), found -> {
+            if (over) {
+                found.ifPresent(this::free);
+            } else if (found.isPresent()) {
+                target = found.get();
+                copyOnce();
+            } else if (excluded.isEmpty() && !late()) {
+                parts.vertx().setTimer(AGAIN_MILLIS, timer -> findTarget());
+            } else {
+                fail("no engine takes it");
+            }
+        });
     }
 
     private void copyOnce() {
@@ -165,6 +166,19 @@
 
     private void copied(CopyResult result, boolean stop, Duration took) {
         result.handle().ifPresent(handle -> copy = new RunCopy(source.upstream(), handle));
+        call.trace.note(
+                EventCode.GENERATION_COPIED,
+                call.elapsedMillis(),
+                Map.of(
+                        "from", source.upstream().instance(),
+                        "to", target.upstream().instance(),
+                        "other_zone",
+                                !source.upstream()
+                                        .zone()
+                                        .equals(target.upstream().zone()),
+                        "outcome", result.status(),
+                        "stopped", stop,
+                        "took_ms", took.toMillis()));
         if (result.status() == CopyResult.Status.COPIED && stop && copy != null) {
             call.continueAt(target, copy);
         } else if (result.status() == CopyResult.Status.COPIED) {
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
@@ -3,7 +3,6 @@
 import coriandersill.core.InstanceId;
 import coriandersill.core.lock.LockRank;
 import coriandersill.core.lock.RankedLock;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -36,9 +35,10 @@
                 .collect(Collectors.toUnmodifiableSet()));
     }
 
-    /** Tells the generations at an engine that it leaves after {@code timeLeft}. */
-    void leaving(InstanceId engine, Duration timeLeft) {
-        List<GenerationCall> calls = lock.with(() -> List.copyOf(open.getOrDefault(engine, Set.of())));
-        calls.forEach(call -> call.engineLeaves(timeLeft));
+    /** Returns the generations that are open at an engine and go on elsewhere only from a copy. */
+    List<GenerationCall> movable(InstanceId engine) {
+        return lock.with(() -> open.getOrDefault(engine, Set.of()).stream()
+                .filter(GenerationCall::worthMoving)
+                .toList());
     }
 }
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
@@ -0,0 +1,90 @@
+package coriandersill.relay.internal;
+
+import coriandersill.catalog.EngineRule;
+import coriandersill.core.CallFailure;
+import coriandersill.events.EventCode;
+import coriandersill.relay.EngineReport;
+import coriandersill.upstreams.Upstream;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Decides when each generation of this entry moves off an engine that leaves. */
+final class MovePlanner {
+    /** How long the engine's report is waited for; without it the entry goes by what it runs there itself. */
+    private static final Duration REPORT_WAIT = Duration.ofMillis(80);
+
+    /** What a move has at least, so that its first copying may end. */
+    private static final Duration LEAST_TIME = Duration.ofMillis(400);
+
+    /**
+     * Generations go to any zone, so that the load spreads, where the longer copies take at most this part of the time.
+     */
+    private static final double ROOMY_PART = 0.8;
+
+    private final RelayParts parts;
+
+    MovePlanner(RelayParts parts) {
+        this.parts = parts;
+    }
+
+    /** Plans the moves off {@code engine}, which works on for {@code timeLeft}. */
+    void leaving(Upstream engine, Duration timeLeft) {
+        List<GenerationCall> own = parts.generations().movable(engine.instance());
+        if (own.isEmpty()) {
+            return;
+        }
+        long noticed = parts.clock().nanos();
+        parts.engines()
+                .report(engine)
+                .orTimeout(REPORT_WAIT.toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((report, error) -> {
+                    List<EngineReport.ReportedRun> runs = error == null ? report.runs() : List.of();
+                    String without =
+                            error == null ? "" : CallFailure.from(error).getMessage();
+                    plan(engine, own, runs, timeLeft.minusNanos(parts.clock().nanos() - noticed), without);
+                });
+    }
+
+    private void plan(
+            Upstream engine,
+            List<GenerationCall> own,
+            List<EngineReport.ReportedRun> runs,
+            Duration timeLeft,
+            String withoutReport) {
+        EngineRule rule = own.get(0).plan.service().engine().orElseThrow();
+        List<CopyOrder.Generation> reported = runs.stream()
+                .map(run -> new CopyOrder.Generation(run.id(), run.tokens()))
+                .toList();
+        List<CopyOrder.Generation> ours = own.stream()
+                .map(call -> new CopyOrder.Generation(call.id(), call.plan.promptTokens()))
+                .toList();
+        CopyOrder.Plan far = CopyOrder.plan(reported, ours, rule, true);
+        boolean anyZone = far.total().toNanos() <= timeLeft.toNanos() * ROOMY_PART;
+        Map<String, Duration> starts = anyZone
+                ? far.starts()
+                : CopyOrder.plan(reported, ours, rule, !engineInZone(engine)).starts();
+        Map<String, Object> details = new HashMap<>();
+        details.put("engine", engine.instance());
+        details.put("reported_generations", runs.size());
+        details.put("own_generations", own.size());
+        details.put("any_zone", anyZone);
+        details.put("time_left_ms", timeLeft.toMillis());
+        details.put("without_report", withoutReport);
+        starts.forEach((id, start) -> details.put("start_ms." + id, start.toMillis()));
+        parts.events().record(EventCode.MOVES_PLANNED, details);
+        for (GenerationCall call : own) {
+            Duration start = starts.get(call.id());
+            Duration time = timeLeft.minus(start);
+            call.moveOff(engine, start, time.compareTo(LEAST_TIME) < 0 ? LEAST_TIME : time, anyZone);
+        }
+    }
+
+    private boolean engineInZone(Upstream engine) {
+        return parts.upstreams().inService(engine.service()).stream()
+                .anyMatch(other ->
+                        other.zone().equals(engine.zone()) && !other.instance().equals(engine.instance()));
+    }
+}
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -85,12 +85,13 @@
                 .build();
         RoutingPolicy soonest =
                 LeastPromptBacklog.of(TOKENS_PER_GENERATION_IN_A_STEP, TOKENS_FOR_OTHER_ZONE, random.nextInt());
-        RoutingPolicy targets =
+        RoutingPolicy targetsNear =
                 LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_MOVE_TO_OTHER_ZONE, random.nextInt());
+        RoutingPolicy targetsAnywhere =
+                LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_OTHER_ZONE, random.nextInt());
         Router plainRouter = Router.builder(clock, random).build();
         ColdCallShare coldCalls = ColdCallShare.create(clock);
         GenerationTable generations = new GenerationTable();
-        inputs.upstreams().listen(new Departures(generations, engineRouter, plainRouter, coldCalls, inputs.events()));
         RelayParts parts = new RelayParts(
                 vertx,
                 client,
@@ -101,8 +102,7 @@
                         settings,
                         inputs.upstreams(),
                         engineRouter,
-                        soonest,
-                        targets,
+                        new UpstreamChoice.EnginePolicies(soonest, targetsNear, targetsAnywhere),
                         plainRouter,
                         coldCalls,
                         () -> ASSUMED_ENTRIES),
@@ -115,6 +115,9 @@
                 clock,
                 random,
                 inputs.events());
+        inputs.upstreams()
+                .listen(new Departures(
+                        generations, new MovePlanner(parts), engineRouter, plainRouter, coldCalls, inputs.events()));
         FrontServer front = new FrontServer(parts);
         Gauge<Integer> open = front::open;
         inputs.metrics().register("relay.open", open);
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -30,8 +30,7 @@
     private final RelaySettings settings;
     private final UpstreamTable upstreams;
     private final Router engines;
-    private final RoutingPolicy soonest;
-    private final RoutingPolicy targets;
+    private final EnginePolicies policies;
     private final Router plain;
     private final ColdCallShare coldCalls;
     private final IntSupplier entries;
@@ -41,21 +40,28 @@
             RelaySettings settings,
             UpstreamTable upstreams,
             Router engines,
-            RoutingPolicy soonest,
-            RoutingPolicy targets,
+            EnginePolicies policies,
             Router plain,
             ColdCallShare coldCalls,
             IntSupplier entries) {
         this.settings = settings;
         this.upstreams = upstreams;
         this.engines = engines;
-        this.soonest = soonest;
-        this.targets = targets;
+        this.policies = policies;
         this.plain = plain;
         this.coldCalls = coldCalls;
         this.entries = entries;
     }
 
+    /**
+     * How engines are chosen where the router's own policy does not hold.
+     *
+     * @param soonest for short generations
+     * @param targetsNear for generations that move in a hurry
+     * @param targetsAnywhere for generations that move with time for copies to another zone
+     */
+    record EnginePolicies(RoutingPolicy soonest, RoutingPolicy targetsNear, RoutingPolicy targetsAnywhere) {}
+
     /** A chosen upstream and the request by which the router counts it. */
     record Chosen(Upstream upstream, RouteRequest request, boolean engine) {}
 
@@ -95,11 +101,17 @@
         if (plan.service().engine().isEmpty()) {
             return plain.select(request, infos);
         }
-        return plan.shortGeneration() ? engines.select(request, infos, soonest) : engines.select(request, infos);
+        return plan.shortGeneration()
+                ? engines.select(request, infos, policies.soonest())
+                : engines.select(request, infos);
     }
 
-    /** Chooses the engine that a running generation moves to, and counts the generation there. */
-    Optional<Chosen> chooseTarget(CallPlan plan, Upstream source, Set<InstanceId> excluded, int tokens) {
+    /**
+     * Chooses the engine that a running generation moves to, and counts the generation there.
+     *
+     * @param anyZone whether there is time for a copy to another zone
+     */
+    Optional<Chosen> chooseTarget(CallPlan plan, Upstream source, Set<InstanceId> excluded, boolean anyZone) {
         List<Upstream> known = upstreams.inService(plan.service().name()).stream()
                 .filter(upstream -> !excluded.contains(upstream.instance()))
                 .filter(upstream -> !upstream.instance().equals(source.instance()))
@@ -112,23 +124,22 @@
                 source.zone(),
                 0,
                 0,
-                tokens + othersShare(plan, source, known),
+                plan.predictedTokens() + othersShare(plan, source, known, anyZone),
                 excluded);
-        return engines.select(request, infos(plan, known), targets).flatMap(candidate -> known.stream()
+        RoutingPolicy policy = anyZone ? policies.targetsAnywhere() : policies.targetsNear();
+        return engines.select(request, infos(plan, known), policy).flatMap(candidate -> known.stream()
                 .filter(upstream -> upstream.instance().equals(candidate.instance()))
                 .findFirst()
                 .map(upstream -> new Chosen(upstream, request, true)));
     }
 
-    /**
-     * The memory that other entries' generations will take at each engine of the zone, as they move at the same time.
-     */
-    private int othersShare(CallPlan plan, Upstream source, List<Upstream> known) {
-        long others = engines.view(infos(plan, List.of(source))).get(0).othersTokens();
-        long targetsNear = known.stream()
-                .filter(upstream -> upstream.zone().equals(source.zone()))
+    /** The memory that other entries' generations will take at each target, as they move at the same time. */
+    private int othersShare(CallPlan plan, Upstream source, List<Upstream> known, boolean anyZone) {
+        long others = this.engines.view(infos(plan, List.of(source))).get(0).othersTokens();
+        long engines = known.stream()
+                .filter(upstream -> anyZone || upstream.zone().equals(source.zone()))
                 .count();
-        return (int) (others / Math.max(1, targetsNear));
+        return (int) (others / Math.max(1, engines));
     }
 
     /** Returns the engines that are listed, those that leave included. */
--- /dev/null
+++ b/relay/src/test/java/coriandersill/relay/internal/CopyOrderTest.java
@@ -0,0 +1,86 @@
+package coriandersill.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import coriandersill.catalog.EngineRule;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class CopyOrderTest {
+    /** A thousand tokens take 100 ms. */
+    private static final EngineRule ENGINE = new EngineRule(30_000, true, 125_000, 10_000);
+
+    private static CopyOrder.Generation generation(String id, long tokens) {
+        return new CopyOrder.Generation(id, tokens);
+    }
+
+    private static Map<String, Duration> starts(
+            List<CopyOrder.Generation> reported, List<CopyOrder.Generation> own, EngineRule engine, boolean otherZone) {
+        return CopyOrder.plan(reported, own, engine, otherZone).starts();
+    }
+
+    @Test
+    void theTotalCountsTheGenerationsOfAllEntries() {
+        List<CopyOrder.Generation> reported = List.of(generation("a", 1_000), generation("b", 2_000));
+
+        Duration total = CopyOrder.plan(reported, List.of(reported.get(0)), ENGINE, false)
+                .total();
+
+        assertThat(total, greaterThan(ENGINE.copyTime(3_000)));
+        assertThat(total, lessThan(ENGINE.copyTime(4_000)));
+    }
+
+    @Test
+    void twoEntriesNeverCopyAtTheSameTime() {
+        List<CopyOrder.Generation> reported =
+                List.of(generation("a", 3_000), generation("b", 1_000), generation("c", 2_000), generation("d", 1_500));
+        Map<String, Duration> one = starts(reported, List.of(reported.get(0), reported.get(3)), ENGINE, false);
+        Map<String, Duration> other = starts(reported, List.of(reported.get(1), reported.get(2)), ENGINE, false);
+
+        assertThat(other.get("b"), is(Duration.ZERO));
+        assertThat(one.get("d"), greaterThan(ENGINE.copyTime(1_000)));
+        assertThat(other.get("c"), greaterThan(one.get("d").plus(ENGINE.copyTime(1_500))));
+        assertThat(one.get("a"), greaterThan(other.get("c").plus(ENGINE.copyTime(2_000))));
+    }
+
+    @Test
+    void theSmallestGenerationGoesFirstSoThatMostAreSaved() {
+        List<CopyOrder.Generation> own = List.of(generation("large", 4_000), generation("small", 500));
+
+        Map<String, Duration> starts = starts(own, own, ENGINE, false);
+
+        assertThat(starts.get("small"), is(Duration.ZERO));
+        assertThat(starts.get("large"), lessThan(Duration.ofMillis(150)));
+    }
+
+    @Test
+    void aGenerationThatTheReportDoesNotHaveYetComesLast() {
+        Map<String, Duration> starts =
+                starts(List.of(generation("others", 3_000)), List.of(generation("new", 100)), ENGINE, false);
+
+        assertThat(starts.get("new"), greaterThan(ENGINE.copyTime(3_000)));
+    }
+
+    @Test
+    void copiesToAnotherZoneTakeTheLinkTwiceAsLong() {
+        List<CopyOrder.Generation> own = List.of(generation("a", 1_000), generation("b", 2_000));
+
+        Duration near = starts(own, own, ENGINE, false).get("b");
+        Duration far = starts(own, own, ENGINE, true).get("b");
+
+        assertThat(far.minus(near), is(ENGINE.copyTime(1_000)));
+    }
+
+    @Test
+    void withoutAKnownSpeedCopiesStillFollowOneAnother() {
+        EngineRule unknown = new EngineRule(30_000, true, 0, 0);
+        List<CopyOrder.Generation> own = List.of(generation("a", 1_000), generation("b", 2_000));
+
+        assertThat(starts(own, own, unknown, false).get("b"), greaterThan(Duration.ZERO));
+    }
+}
