Plan moves by the room in the zone, and count only others that move earlier

Each entry kept room at the zone's engines for all generations of others, so that none held its own; all went to other zones, whose copies take the link twice as long, in turns spaced for copies within the zone. Change: turns are spaced by the zone each generation is expected to go to, by the room of the zone's engines; a target keeps room only for those of others whose turn is earlier.

--- a/relay/src/main/java/coriandersill/relay/internal/CopyOrder.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CopyOrder.java
@@ -24,6 +24,9 @@
     /** A copy between zones takes the link for so many times as long as one within. */
     private static final int OTHER_ZONE_FACTOR = 2;
 
+    /** What a generation is expected to add to its memory until it ends. */
+    private static final int GROWTH_TOKENS = 400;
+
     private CopyOrder() {}
 
     /**
@@ -35,41 +38,60 @@
     record Generation(String id, long tokens) {}
 
     /**
-     * When the moves begin, counted from the notice.
+     * The turn of one generation.
+     *
+     * @param start when its move begins, counted from the notice
+     * @param otherZone whether it is expected to go to another availability zone
+     * @param othersBefore the memory of other entries' generations whose turn is earlier, in tokens
+     */
+    record Turn(Duration start, boolean otherZone, long othersBefore) {}
+
+    /**
+     * The turns of an entry's generations.
      *
-     * @param starts the beginning of the move of each of this entry's generations, by its id
+     * @param turns each generation's turn, by its id
      * @param total when the last move of any entry is over
      */
-    record Plan(Map<String, Duration> starts, Duration total) {}
+    record Plan(Map<String, Turn> turns, Duration total) {}
 
     /**
-     * Returns when the moves of this entry's generations begin.
+     * Returns the turns of this entry's generations.
      *
      * @param reported the generations of all entries at the engine, by its report
      * @param own the entry's generations that it has to move
      * @param engine the engine's link
-     * @param otherZone whether the copies go to another availability zone
+     * @param roomNear how many tokens the engines of the same availability zone can take; the rest goes to other zones
      */
-    static Plan plan(List<Generation> reported, List<Generation> own, EngineRule engine, boolean otherZone) {
-        Set<String> known = Set.copyOf(reported.stream().map(Generation::id).toList());
+    static Plan plan(List<Generation> reported, List<Generation> own, EngineRule engine, long roomNear) {
+        Map<String, Turn> turns = new LinkedHashMap<>();
+        Set<String> ownIds = Set.copyOf(own.stream().map(Generation::id).toList());
+        Duration start = Duration.ZERO;
+        long before = 0;
+        long othersBefore = 0;
+        for (Generation generation : inOrder(reported, own)) {
+            before += generation.tokens() + GROWTH_TOKENS;
+            boolean otherZone = before > roomNear;
+            if (ownIds.contains(generation.id())) {
+                turns.put(generation.id(), new Turn(start, otherZone, othersBefore));
+            } else {
+                othersBefore += generation.tokens() + GROWTH_TOKENS;
+            }
+            Duration copy = engine.copyTime(generation.tokens()).multipliedBy(otherZone ? OTHER_ZONE_FACTOR : 1);
+            start = start.plus(copy).plus(REST_OF_A_MOVE);
+        }
+        return new Plan(turns, start);
+    }
+
+    private static List<Generation> inOrder(List<Generation> reported, List<Generation> own) {
         Comparator<Generation> smallFirst =
                 Comparator.comparingLong(Generation::tokens).thenComparing(Generation::id);
+        Set<String> known = Set.copyOf(reported.stream().map(Generation::id).toList());
         List<Generation> all =
                 new ArrayList<>(reported.stream().sorted(smallFirst).toList());
         own.stream()
                 .filter(generation -> !known.contains(generation.id()))
                 .sorted(smallFirst)
                 .forEach(all::add);
-        Set<String> ownIds = Set.copyOf(own.stream().map(Generation::id).toList());
-        Map<String, Duration> starts = new LinkedHashMap<>();
-        Duration start = Duration.ZERO;
-        for (Generation generation : all) {
-            if (ownIds.contains(generation.id())) {
-                starts.put(generation.id(), start);
-            }
-            Duration copy = engine.copyTime(generation.tokens()).multipliedBy(otherZone ? OTHER_ZONE_FACTOR : 1);
-            start = start.plus(copy).plus(REST_OF_A_MOVE);
-        }
-        return new Plan(starts, start);
+        return all;
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -78,27 +78,27 @@
      * Hears from any thread that its engine leaves, and that it moves after {@code startIn}.
      *
      * @param timeLeft how long the move may take
-     * @param anyZone whether there is time for copies to another zone
+     * @param aim what the choice of a target goes by
      */
-    void moveOff(Upstream engine, Duration startIn, Duration timeLeft, boolean anyZone) {
+    void moveOff(Upstream engine, Duration startIn, Duration timeLeft, MoveAim aim) {
         context.runOnContext(ignored -> {
             if (startIn.toMillis() <= 0) {
-                moveIfAt(engine, timeLeft, anyZone);
+                moveIfAt(engine, timeLeft, aim);
             } else {
-                parts.vertx().setTimer(startIn.toMillis(), timer -> moveIfAt(engine, timeLeft, anyZone));
+                parts.vertx().setTimer(startIn.toMillis(), timer -> moveIfAt(engine, timeLeft, aim));
             }
         });
     }
 
-    private void moveIfAt(Upstream engine, Duration timeLeft, boolean anyZone) {
+    private void moveIfAt(Upstream engine, Duration timeLeft, MoveAim aim) {
         if (chosen.upstream().instance().equals(engine.instance())) {
-            startMove(timeLeft, anyZone);
+            startMove(timeLeft, aim);
         }
     }
 
-    private void startMove(Duration timeLeft, boolean anyZone) {
+    private void startMove(Duration timeLeft, MoveAim aim) {
         if (!over() && move == null && exchange != null && worthMoving()) {
-            move = new GenerationMove(this, chosen, timeLeft, anyZone);
+            move = new GenerationMove(this, chosen, timeLeft, aim);
             move.start();
         }
     }
@@ -131,7 +131,7 @@
         if (pending != null && !over()) {
             pending.run();
         } else if (!over() && parts.upstreams().leaving(chosen.upstream().instance())) {
-            parts.vertx().setTimer(NEXT_MOVE_MILLIS, timer -> startMove(NEXT_MOVE_TIME, false));
+            parts.vertx().setTimer(NEXT_MOVE_MILLIS, timer -> startMove(NEXT_MOVE_TIME, MoveAim.NEAR));
         }
     }
 
@@ -168,7 +168,7 @@
         if (!plan.route().resumable() && !rescued && events > 0 && worthMoving()) {
             rescued = true;
             afterStop = () -> broken(target, failure);
-            move = new GenerationMove(this, target, Duration.ZERO, false);
+            move = new GenerationMove(this, target, Duration.ZERO, MoveAim.NEAR);
             move.start();
             return;
         }
@@ -237,7 +237,7 @@
                 move = null;
             }
             if (parts.upstreams().leaving(target.upstream().instance())) {
-                startMove(LATE_MOVE_TIME, false);
+                startMove(LATE_MOVE_TIME, MoveAim.NEAR);
             }
         }
 
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -36,7 +36,7 @@
     private final RelayParts parts;
     private final UpstreamChoice.Chosen source;
     private final Duration timeLeft;
-    private final boolean anyZone;
+    private final MoveAim aim;
     private final long startedAt;
     private final Set<InstanceId> excluded = new HashSet<>();
     private UpstreamChoice.Chosen target;
@@ -46,12 +46,12 @@
     private long stoppedAt;
     private RunCopy copy;
 
-    GenerationMove(GenerationCall call, UpstreamChoice.Chosen source, Duration timeLeft, boolean anyZone) {
+    GenerationMove(GenerationCall call, UpstreamChoice.Chosen source, Duration timeLeft, MoveAim aim) {
         this.call = call;
         this.parts = call.parts;
         this.source = source;
         this.timeLeft = timeLeft;
-        this.anyZone = anyZone;
+        this.aim = aim;
         this.startedAt = parts.clock().nanos();
     }
 
@@ -117,7 +117,7 @@
             return;
         }
         Set<InstanceId> tried = Set.copyOf(excluded);
-        call.onWorker(() -> parts.choice().chooseTarget(call.plan, source.upstream(), tried, anyZone), found -> {
+        call.onWorker(() -> parts.choice().chooseTarget(call.plan, source.upstream(), tried, aim), found -> {
             if (over) {
                 found.ifPresent(this::free);
             } else if (found.isPresent()) {
--- a/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
+++ b/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
@@ -61,11 +61,12 @@
         List<CopyOrder.Generation> ours = own.stream()
                 .map(call -> new CopyOrder.Generation(call.id(), call.plan.promptTokens()))
                 .toList();
-        CopyOrder.Plan far = CopyOrder.plan(reported, ours, rule, true);
+        CopyOrder.Plan far = CopyOrder.plan(reported, ours, rule, 0);
         boolean anyZone = far.total().toNanos() <= timeLeft.toNanos() * ROOMY_PART;
-        Map<String, Duration> starts = anyZone
-                ? far.starts()
-                : CopyOrder.plan(reported, ours, rule, !engineInZone(engine)).starts();
+        long roomNear = parts.choice().roomInZoneOf(own.get(0).plan, engine);
+        Map<String, CopyOrder.Turn> turns = anyZone
+                ? far.turns()
+                : CopyOrder.plan(reported, ours, rule, roomNear).turns();
         Map<String, Object> details = new HashMap<>();
         details.put("engine", engine.instance());
         details.put("reported_generations", runs.size());
@@ -73,18 +74,17 @@
         details.put("any_zone", anyZone);
         details.put("time_left_ms", timeLeft.toMillis());
         details.put("without_report", withoutReport);
-        starts.forEach((id, start) -> details.put("start_ms." + id, start.toMillis()));
+        details.put("room_near", roomNear);
+        turns.forEach((id, turn) -> details.put("start_ms." + id, turn.start().toMillis()));
         parts.events().record(EventCode.MOVES_PLANNED, details);
         for (GenerationCall call : own) {
-            Duration start = starts.get(call.id());
-            Duration time = timeLeft.minus(start);
-            call.moveOff(engine, start, time.compareTo(LEAST_TIME) < 0 ? LEAST_TIME : time, anyZone);
+            CopyOrder.Turn turn = turns.get(call.id());
+            Duration time = timeLeft.minus(turn.start());
+            call.moveOff(
+                    engine,
+                    turn.start(),
+                    time.compareTo(LEAST_TIME) < 0 ? LEAST_TIME : time,
+                    new MoveAim(anyZone, turn.othersBefore()));
         }
     }
-
-    private boolean engineInZone(Upstream engine) {
-        return parts.upstreams().inService(engine.service()).stream()
-                .anyMatch(other ->
-                        other.zone().equals(engine.zone()) && !other.instance().equals(engine.instance()));
-    }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -106,12 +106,8 @@
                 : engines.select(request, infos);
     }
 
-    /**
-     * Chooses the engine that a running generation moves to, and counts the generation there.
-     *
-     * @param anyZone whether there is time for a copy to another zone
-     */
-    Optional<Chosen> chooseTarget(CallPlan plan, Upstream source, Set<InstanceId> excluded, boolean anyZone) {
+    /** Chooses the engine that a running generation moves to, and counts the generation there. */
+    Optional<Chosen> chooseTarget(CallPlan plan, Upstream source, Set<InstanceId> excluded, MoveAim aim) {
         List<Upstream> known = upstreams.inService(plan.service().name()).stream()
                 .filter(upstream -> !excluded.contains(upstream.instance()))
                 .filter(upstream -> !upstream.instance().equals(source.instance()))
@@ -124,22 +120,34 @@
                 source.zone(),
                 0,
                 0,
-                plan.predictedTokens() + othersShare(plan, source, known, anyZone),
+                plan.predictedTokens() + othersShare(source, known, aim),
                 excluded);
-        RoutingPolicy policy = anyZone ? policies.targetsAnywhere() : policies.targetsNear();
+        RoutingPolicy policy = aim.anyZone() ? policies.targetsAnywhere() : policies.targetsNear();
         return engines.select(request, infos(plan, known), policy).flatMap(candidate -> known.stream()
                 .filter(upstream -> upstream.instance().equals(candidate.instance()))
                 .findFirst()
                 .map(upstream -> new Chosen(upstream, request, true)));
     }
 
-    /** The memory that other entries' generations will take at each target, as they move at the same time. */
-    private int othersShare(CallPlan plan, Upstream source, List<Upstream> known, boolean anyZone) {
-        long others = this.engines.view(infos(plan, List.of(source))).get(0).othersTokens();
-        long engines = known.stream()
-                .filter(upstream -> anyZone || upstream.zone().equals(source.zone()))
+    /** The memory that other entries' generations will have taken at each target by then. */
+    private static int othersShare(Upstream source, List<Upstream> known, MoveAim aim) {
+        long targets = known.stream()
+                .filter(upstream -> aim.anyZone() || upstream.zone().equals(source.zone()))
                 .count();
-        return (int) (others / Math.max(1, engines));
+        return (int) (aim.othersTokens() / Math.max(1, targets));
+    }
+
+    /** Returns how many tokens the other engines in the availability zone of {@code engine} can take. */
+    long roomInZoneOf(CallPlan plan, Upstream engine) {
+        List<Upstream> near = upstreams.inService(plan.service().name()).stream()
+                .filter(upstream -> upstream.zone().equals(engine.zone()))
+                .filter(upstream -> !upstream.instance().equals(engine.instance()))
+                .toList();
+        return engines.view(infos(plan, near)).stream()
+                .mapToLong(
+                        candidate -> candidate.memoryTokens() - candidate.reservedTokens() - candidate.othersTokens())
+                .filter(room -> room > 0)
+                .sum();
     }
 
     /** Returns the engines that are listed, those that leave included. */
--- a/relay/src/test/java/coriandersill/relay/internal/CopyOrderTest.java
+++ b/relay/src/test/java/coriandersill/relay/internal/CopyOrderTest.java
@@ -7,6 +7,7 @@
 
 import coriandersill.catalog.EngineRule;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -21,14 +22,18 @@
 
     private static Map<String, Duration> starts(
             List<CopyOrder.Generation> reported, List<CopyOrder.Generation> own, EngineRule engine, boolean otherZone) {
-        return CopyOrder.plan(reported, own, engine, otherZone).starts();
+        Map<String, Duration> starts = new HashMap<>();
+        CopyOrder.plan(reported, own, engine, otherZone ? 0 : Long.MAX_VALUE)
+                .turns()
+                .forEach((id, turn) -> starts.put(id, turn.start()));
+        return starts;
     }
 
     @Test
     void theTotalCountsTheGenerationsOfAllEntries() {
         List<CopyOrder.Generation> reported = List.of(generation("a", 1_000), generation("b", 2_000));
 
-        Duration total = CopyOrder.plan(reported, List.of(reported.get(0)), ENGINE, false)
+        Duration total = CopyOrder.plan(reported, List.of(reported.get(0)), ENGINE, Long.MAX_VALUE)
                 .total();
 
         assertThat(total, greaterThan(ENGINE.copyTime(3_000)));
@@ -76,6 +81,28 @@
         assertThat(far.minus(near), is(ENGINE.copyTime(1_000)));
     }
 
+    @Test
+    void whatTheZoneCannotTakeIsExpectedToGoToAnotherOne() {
+        List<CopyOrder.Generation> own =
+                List.of(generation("a", 1_000), generation("b", 2_000), generation("c", 3_000));
+
+        CopyOrder.Plan plan = CopyOrder.plan(own, own, ENGINE, 4_000);
+
+        assertThat(plan.turns().get("b").otherZone(), is(false));
+        assertThat(plan.turns().get("c").otherZone(), is(true));
+        assertThat(plan.total(), greaterThan(ENGINE.copyTime(1_000 + 2_000 + 2 * 3_000)));
+    }
+
+    @Test
+    void eachTurnCountsTheMemoryOfOthersThatGoBeforeIt() {
+        List<CopyOrder.Generation> reported = List.of(generation("mine", 2_000), generation("others", 1_000));
+
+        CopyOrder.Plan plan = CopyOrder.plan(reported, List.of(reported.get(0)), ENGINE, Long.MAX_VALUE);
+
+        assertThat(plan.turns().get("mine").othersBefore(), greaterThan(999L));
+        assertThat(plan.turns().get("mine").othersBefore(), lessThan(2_000L));
+    }
+
     @Test
     void withoutAKnownSpeedCopiesStillFollowOneAnother() {
         EngineRule unknown = new EngineRule(30_000, true, 0, 0);
