--- a/functional/src/test/java/coriandersill/functional/Await.java
+++ b/functional/src/test/java/coriandersill/functional/Await.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -47,10 +48,14 @@
     /** Asks again until the answer is as wanted. */
     static <T> T value(Supplier<T> question, Predicate<T> wanted) {
         AtomicReference<T> last = new AtomicReference<>();
-        until(() -> {
-            last.set(question.get());
-            return wanted.test(last.get());
-        });
+        try {
+            until(() -> {
+                last.set(question.get());
+                return wanted.test(last.get());
+            });
+        } catch (CompletionException inVain) {
+            throw new AssertionError("waited in vain; the last answer was " + last.get(), inVain);
+        }
         return last.get();
     }
 }
--- a/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SeparateProcessesTest.java
@@ -23,6 +23,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -39,6 +41,10 @@
 @TestMethodOrder(MethodOrderer.OrderAnnotation.class)
 final class SeparateProcessesTest {
     private static final String KEY = "north.secret";
+
+    /** How long a process has to say how it is; a question that gets lost does not hold up the next ones. */
+    private static final int STATUS_SECONDS = 2;
+
     private static final Random RANDOM = new Random(11);
     private static final Processes PROCESSES = new Processes();
     private static final int PLATFORM = Processes.freePort();
@@ -158,25 +164,29 @@
         return status;
     }
 
+    /** Returns what a process says of itself; where it does not answer in time, only why. */
     private static JsonObject status(int process) {
         try {
             return caller.call(OPERATIONS[process], "GET", "/status", Map.of(), "")
+                    .orTimeout(STATUS_SECONDS, TimeUnit.SECONDS)
                     .join()
                     .json();
-        } catch (java.util.concurrent.CompletionException unreachable) {
-            return new JsonObject();
+        } catch (CompletionException unreachable) {
+            return new JsonObject().put("no_answer", String.valueOf(unreachable.getCause()));
         }
     }
 
     private static void awaitServing() {
         for (int sidecar = 0; sidecar < 3; sidecar++) {
             int process = sidecar;
-            Await.until(() -> status(process).getBoolean("configuration_ready", false));
+            Await.value(() -> status(process), status -> status.getBoolean("configuration_ready", false));
         }
         for (int entry = 0; entry < 2; entry++) {
             int process = 3 + entry;
-            Await.until(() -> status(process).getInteger("sidecars_in_service", 0) == 3
-                    && status(process).getBoolean("claims_ready", false));
+            Await.value(
+                    () -> status(process),
+                    status -> status.getInteger("sidecars_in_service", 0) == 3
+                            && status.getBoolean("claims_ready", false));
         }
     }
 
