Ask engines for their load when a generation needs one, not all engines all the time

Each of 28 entries asked each of 36 engines every 3.6 s, so that loads were seconds old and questions grew with entries times engines. Ruled out: memory (45 % predicted at the mean). Change: before a generation is given to an engine or moved, the load of a few drawn engines is asked (40 ms at most, 1 to 2 ms as a rule); those that answer and have room go before all others.

--- a/relay/src/main/java/coriandersill/relay/internal/CallFlow.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallFlow.java
@@ -114,7 +114,17 @@
 
     /** Looks for an upstream and sends the call there, or waits for one. */
     final void find() {
-        onWorker(() -> parts.choice().choose(plan, Set.copyOf(excluded)), found -> {
+        if (plan.service().engine().isEmpty()) {
+            choose(Set.of());
+            return;
+        }
+        onWorker(
+                () -> parts.choice().sample(plan, Set.copyOf(excluded)),
+                sample -> parts.loads().refresh(sample).thenAccept(answered -> onContext(() -> choose(answered))));
+    }
+
+    private void choose(Set<InstanceId> preferred) {
+        onWorker(() -> parts.choice().choose(plan, Set.copyOf(excluded), preferred), found -> {
             if (found.isPresent()) {
                 send(found.get());
             } else if (elapsedNanos() < plan.route().target().toNanos() / WAIT_PART && sends == 0) {
@@ -149,6 +159,15 @@
                 }));
     }
 
+    /** Runs {@code task} on the call's context unless the call has ended by then. */
+    final void onContext(Runnable task) {
+        context.runOnContext(ignored -> {
+            if (!over) {
+                task.run();
+            }
+        });
+    }
+
     private void send(UpstreamChoice.Chosen target) {
         if (over) {
             parts.choice().finished(target, CallResult.failed(ErrorKind.CANCELLED));
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -116,6 +116,12 @@
         if (over) {
             return;
         }
+        call.onWorker(
+                () -> parts.choice().targetSample(call.plan, source.upstream()),
+                sample -> parts.loads().refresh(sample).thenAccept(answered -> call.onContext(this::chooseTarget)));
+    }
+
+    private void chooseTarget() {
         Set<InstanceId> tried = Set.copyOf(excluded);
         call.onWorker(() -> parts.choice().chooseTarget(call.plan, source.upstream(), tried, aim), found -> {
             if (over) {
--- a/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
+++ b/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
@@ -2,6 +2,7 @@
 
 import coriandersill.catalog.EngineRule;
 import coriandersill.core.CallFailure;
+import coriandersill.core.InstanceId;
 import coriandersill.events.EventCode;
 import coriandersill.relay.EngineReport;
 import coriandersill.upstreams.Upstream;
@@ -9,6 +10,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** Decides when each generation of this entry moves off an engine that leaves. */
@@ -37,9 +40,12 @@
             return;
         }
         long noticed = parts.clock().nanos();
+        CompletableFuture<Set<InstanceId>> targetsKnown =
+                parts.loads().refresh(parts.choice().targetSample(own.get(0).plan, engine));
         parts.engines()
                 .report(engine)
                 .orTimeout(REPORT_WAIT.toMillis(), TimeUnit.MILLISECONDS)
+                .thenCombine(targetsKnown, (report, answered) -> report)
                 .whenComplete((report, error) -> {
                     List<EngineReport.ReportedRun> runs = error == null ? report.runs() : List.of();
                     String without =
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -46,12 +46,12 @@
 
     private final FrontServer front;
     private final ReadyServer ready;
-    private final ReportWatch reports;
+    private final LoadReader loads;
 
-    private RelayAssembly(FrontServer front, ReadyServer ready, ReportWatch reports) {
+    private RelayAssembly(FrontServer front, ReadyServer ready, LoadReader loads) {
         this.front = front;
         this.ready = ready;
-        this.reports = reports;
+        this.loads = loads;
     }
 
     /** What a relay is given. */
@@ -83,29 +83,27 @@
         Router engineRouter = Router.builder(clock, random)
                 .policy(LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_OTHER_ZONE, random.nextInt()))
                 .build();
-        RoutingPolicy soonest =
-                LeastPromptBacklog.of(TOKENS_PER_GENERATION_IN_A_STEP, TOKENS_FOR_OTHER_ZONE, random.nextInt());
-        RoutingPolicy targetsNear =
-                LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_MOVE_TO_OTHER_ZONE, random.nextInt());
-        RoutingPolicy targetsAnywhere =
-                LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_OTHER_ZONE, random.nextInt());
         Router plainRouter = Router.builder(clock, random).build();
         ColdCallShare coldCalls = ColdCallShare.create(clock);
         GenerationTable generations = new GenerationTable();
+        UpstreamChoice choice = choice(inputs, engineRouter, plainRouter, coldCalls);
+        LoadReader loads = new LoadReader(
+                vertx,
+                inputs.engines(),
+                inputs.workers(),
+                choice,
+                inputs.upstreams(),
+                generations,
+                clock,
+                inputs.events());
         RelayParts parts = new RelayParts(
                 vertx,
                 client,
                 inputs.workers(),
                 settings,
                 new CallPlanner(inputs.catalogs(), settings.catalogLifetime(), random),
-                new UpstreamChoice(
-                        settings,
-                        inputs.upstreams(),
-                        engineRouter,
-                        new UpstreamChoice.EnginePolicies(soonest, targetsNear, targetsAnywhere),
-                        plainRouter,
-                        coldCalls,
-                        () -> ASSUMED_ENTRIES),
+                choice,
+                loads,
                 inputs.upstreams(),
                 inputs.codec(),
                 inputs.engines(),
@@ -123,12 +121,32 @@
         inputs.metrics().register("relay.open", open);
         ReadyServer ready = new ReadyServer(
                 vertx, settings, () -> inputs.catalogs().newest().isPresent() && !front.stopping());
-        return new RelayAssembly(front, ready, new ReportWatch(parts));
+        return new RelayAssembly(front, ready, loads);
+    }
+
+    private static UpstreamChoice choice(
+            Inputs inputs, Router engineRouter, Router plainRouter, ColdCallShare coldCalls) {
+        RandomGenerator random = inputs.random();
+        RoutingPolicy soonest =
+                LeastPromptBacklog.of(TOKENS_PER_GENERATION_IN_A_STEP, TOKENS_FOR_OTHER_ZONE, random.nextInt());
+        RoutingPolicy targetsNear =
+                LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_MOVE_TO_OTHER_ZONE, random.nextInt());
+        RoutingPolicy targetsAnywhere =
+                LeastPromptBacklog.of(TOKENS_PER_GENERATION, TOKENS_FOR_OTHER_ZONE, random.nextInt());
+        return new UpstreamChoice(
+                inputs.settings(),
+                inputs.upstreams(),
+                engineRouter,
+                new UpstreamChoice.EnginePolicies(soonest, targetsNear, targetsAnywhere),
+                plainRouter,
+                coldCalls,
+                () -> ASSUMED_ENTRIES,
+                random);
     }
 
     /** Starts listening. */
     public CompletableFuture<Void> start() {
-        reports.start();
+        loads.start();
         return ready.start().thenCompose(started -> front.start());
     }
 
--- a/relay/src/main/java/coriandersill/relay/internal/RelayParts.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayParts.java
@@ -19,6 +19,7 @@
         RelaySettings settings,
         CallPlanner planner,
         UpstreamChoice choice,
+        LoadReader loads,
         UpstreamTable upstreams,
         CallCodec codec,
         EngineControl engines,
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -15,18 +15,28 @@
 import coriandersill.upstreams.ColdCallShare;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamTable;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
 
 /** Chooses the upstream of a call among those that are in service now, and keeps the books of what is in flight. */
 final class UpstreamChoice {
     /** Stands for all versions where no rollout divides a service's calls. */
     static final VersionName ANY_VERSION = VersionName.of("any");
 
+    /** Of so many engines the load is asked before a generation is given to one of them. */
+    private static final int SAMPLE = 4;
+
+    /** Of so many engines the load is asked before a generation moves to one. */
+    private static final int TARGET_SAMPLE = 6;
+
     private final RelaySettings settings;
     private final UpstreamTable upstreams;
     private final Router engines;
@@ -34,6 +44,7 @@
     private final Router plain;
     private final ColdCallShare coldCalls;
     private final IntSupplier entries;
+    private final RandomGenerator random;
     private final Set<ServiceName> engineServices = ConcurrentHashMap.newKeySet();
 
     UpstreamChoice(
@@ -43,7 +54,8 @@
             EnginePolicies policies,
             Router plain,
             ColdCallShare coldCalls,
-            IntSupplier entries) {
+            IntSupplier entries,
+            RandomGenerator random) {
         this.settings = settings;
         this.upstreams = upstreams;
         this.engines = engines;
@@ -51,6 +63,7 @@
         this.plain = plain;
         this.coldCalls = coldCalls;
         this.entries = entries;
+        this.random = random;
     }
 
     /**
@@ -65,8 +78,39 @@
     /** A chosen upstream and the request by which the router counts it. */
     record Chosen(Upstream upstream, RouteRequest request, boolean engine) {}
 
-    /** Chooses an upstream and counts the call as in flight there; empty if none takes it now. */
-    Optional<Chosen> choose(CallPlan plan, Set<InstanceId> excluded) {
+    /** Draws some engines that could take a generation, about which more is to be known before one is chosen. */
+    List<Upstream> sample(CallPlan plan, Set<InstanceId> excluded) {
+        List<Upstream> possible = shuffled(upstreams.inService(plan.service().name()).stream()
+                .filter(upstream -> allowedRegion(plan, upstream))
+                .filter(upstream -> !excluded.contains(upstream.instance()))
+                .toList());
+        return possible.subList(0, Math.min(SAMPLE, possible.size()));
+    }
+
+    /** Draws some engines that a generation could move to, those in the zone of {@code source} first. */
+    List<Upstream> targetSample(CallPlan plan, Upstream source) {
+        List<Upstream> possible = shuffled(upstreams.inService(plan.service().name()).stream()
+                .filter(upstream -> allowedRegion(plan, upstream))
+                .filter(upstream -> !upstream.instance().equals(source.instance()))
+                .toList());
+        possible.sort(Comparator.comparing(upstream -> !upstream.zone().equals(source.zone())));
+        return possible.subList(0, Math.min(TARGET_SAMPLE, possible.size()));
+    }
+
+    private List<Upstream> shuffled(List<Upstream> ordered) {
+        List<Upstream> drawn = new ArrayList<>(ordered);
+        for (int i = drawn.size() - 1; i > 0; i--) {
+            Collections.swap(drawn, i, random.nextInt(i + 1));
+        }
+        return drawn;
+    }
+
+    /**
+     * Chooses an upstream and counts the call as in flight there; empty if none takes it now.
+     *
+     * @param preferred the engines of which the load is known, which go before all others that have no more room
+     */
+    Optional<Chosen> choose(CallPlan plan, Set<InstanceId> excluded, Set<InstanceId> preferred) {
         List<Upstream> known = upstreams.inService(plan.service().name()).stream()
                 .filter(upstream -> allowedRegion(plan, upstream))
                 .toList();
@@ -77,7 +121,7 @@
         }
         while (true) {
             RouteRequest request = request(plan, avoided);
-            Optional<Candidate> candidate = select(plan, request, known);
+            Optional<Candidate> candidate = select(plan, request, known, preferred);
             if (candidate.isEmpty()) {
                 return Optional.empty();
             }
@@ -96,11 +140,18 @@
         }
     }
 
-    private Optional<Candidate> select(CallPlan plan, RouteRequest request, List<Upstream> known) {
-        List<CandidateInfo> infos = infos(plan, known);
+    private Optional<Candidate> select(
+            CallPlan plan, RouteRequest request, List<Upstream> known, Set<InstanceId> preferred) {
         if (plan.service().engine().isEmpty()) {
-            return plain.select(request, infos);
+            return plain.select(request, infos(plan, known));
         }
+        List<Upstream> wellKnown = known.stream()
+                .filter(upstream -> preferred.contains(upstream.instance()))
+                .toList();
+        boolean room = engines.view(infos(plan, wellKnown)).stream()
+                .anyMatch(candidate -> !request.excluded().contains(candidate.instance())
+                        && candidate.holds(request.predictedTokens()));
+        List<CandidateInfo> infos = infos(plan, room ? wellKnown : known);
         return plan.shortGeneration()
                 ? engines.select(request, infos, policies.soonest())
                 : engines.select(request, infos);
