Keep an older view of the sidecars from replacing a newer one

Each change of members builds the candidates anew on the worker that notes it; two at once each read the members, and the one that read first could publish last. The entry then gave a live sidecar no calls until the next change. Change: a lock of a rank before all others, held while candidates are built.

--- a/core/src/main/java/coriandersill/core/lock/LockRank.java
+++ b/core/src/main/java/coriandersill/core/lock/LockRank.java
@@ -4,6 +4,8 @@
  * The order in which locks over shared tables are taken: a thread that holds a lock takes only locks of a later rank.
  */
 public enum LockRank {
+    /** Candidates of calls, while they are built from members and configuration. */
+    CANDIDATES,
     /** Accepted configuration documents. */
     CONFIGURATION,
     /** Known instances and connections. */
--- a/entry/src/main/java/coriandersill/entry/internal/SidecarDirectory.java
+++ b/entry/src/main/java/coriandersill/entry/internal/SidecarDirectory.java
@@ -31,11 +31,13 @@
 /**
  * The sidecars that this entry is connected to, and which of them a call may go to.
  *
- * <p>The candidates of each version are kept ready and built anew when members or the configuration change. Open
- * connections are guarded by a lock of rank {@link LockRank#CONNECTIONS}; the router is never called under it.
+ * <p>The candidates of each version are kept ready and built anew when members or the configuration change; a lock of
+ * rank {@link LockRank#CANDIDATES} keeps an older view from replacing a newer one. Open connections are guarded by a
+ * lock of rank {@link LockRank#CONNECTIONS}; the router is never called under it.
  */
 final class SidecarDirectory {
     private final RankedLock lock = RankedLock.of(LockRank.CONNECTIONS);
+    private final RankedLock building = RankedLock.of(LockRank.CANDIDATES);
     private final Map<InstanceId, Open> connections = new HashMap<>();
     private final MembershipTable members;
     private final Router router;
@@ -90,6 +92,10 @@
 
     /** Builds the candidates anew, after members or the configuration have changed. */
     void rebuild() {
+        building.run(this::build);
+    }
+
+    private void build() {
         Configuration now = configuration.get();
         Map<Served, List<CandidateInfo>> rebuilt = new HashMap<>();
         for (Member member : members.inState(MemberState.LIVE)) {
--- /dev/null
+++ b/entry/src/test/java/coriandersill/entry/internal/SidecarDirectoryTest.java
@@ -0,0 +1,68 @@
+package coriandersill.entry.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.configuration.Configuration;
+import coriandersill.core.AvailabilityZone;
+import coriandersill.core.InstanceId;
+import coriandersill.core.MonotonicClock;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.membership.Member;
+import coriandersill.membership.MembershipSettings;
+import coriandersill.membership.MembershipTable;
+import coriandersill.membership.Role;
+import coriandersill.routing.Router;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class SidecarDirectoryTest {
+    private static final int TIMES = 20_000;
+    private static final MonotonicClock CLOCK = MonotonicClock.system();
+
+    @Test
+    void sidecarsThatJoinAtTheSameTimeAllGetCalls() throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(2);
+        CyclicBarrier together = new CyclicBarrier(2);
+        int lost = 0;
+        for (int i = 0; i < TIMES; i++) {
+            MembershipTable members = MembershipTable.of(MembershipSettings.standard(), CLOCK);
+            SidecarDirectory directory = new SidecarDirectory(
+                    members, Router.builder(CLOCK, new Random(i)).build(), Configuration::empty);
+            CompletableFuture<Void> one =
+                    CompletableFuture.runAsync(() -> join(members, directory, "s1", together), threads);
+            CompletableFuture<Void> two =
+                    CompletableFuture.runAsync(() -> join(members, directory, "s2", together), threads);
+            CompletableFuture.allOf(one, two).get(10, TimeUnit.SECONDS);
+            lost += directory.inService() == 2 ? 0 : 1;
+        }
+        threads.shutdown();
+
+        assertThat(lost, is(0));
+    }
+
+    private static void join(MembershipTable members, SidecarDirectory directory, String id, CyclicBarrier together) {
+        Member member = new Member(
+                InstanceId.of(id),
+                Role.SIDECAR,
+                AvailabilityZone.of("shewa-a"),
+                "127.0.0.1",
+                1,
+                Optional.of(ServiceName.of("scribe")),
+                Optional.of(VersionName.of("v1")));
+        try {
+            together.await(10, TimeUnit.SECONDS);
+        } catch (Exception broken) {
+            throw new IllegalStateException(broken);
+        }
+        members.connected(member, 1);
+        directory.rebuild();
+    }
+}
