--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -85,6 +85,10 @@
     GENERATION_COPIED(423, Level.INFO, "generation copied"),
     /** The order of moves off an engine that leaves is decided. */
     MOVES_PLANNED(424, Level.INFO, "moves planned"),
+    /** The entry's part of what all entries may do together has changed. */
+    SHARE_CHANGED(425, Level.INFO, "share changed"),
+    /** The store does not tell the entry's part; the last one holds on. */
+    SHARE_KEPT(426, Level.INFO, "share kept"),
     /** An upstream is cold again. */
     UPSTREAM_COLD(500, Level.WARNING, "upstream is cold"),
     /** An upstream has proven its full limit. */
--- a/relay/src/main/java/coriandersill/relay/Relay.java
+++ b/relay/src/main/java/coriandersill/relay/Relay.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -58,6 +59,7 @@
         private WorkerPool workers;
         private MonotonicClock clock = MonotonicClock.system();
         private RandomGenerator random;
+        private DoubleSupplier ownShare = () -> 1;
         private EventLog events = EventLog.none();
         private MetricRegistry metrics = new MetricRegistry();
 
@@ -98,6 +100,12 @@
             return this;
         }
 
+        /** Sets the entry's part, from 0 to 1, of what all entries may do together; alone by default. */
+        public Builder ownShare(DoubleSupplier value) {
+            ownShare = Objects.requireNonNull(value, "ownShare");
+            return this;
+        }
+
         /** Sets where events and metrics go. */
         public Builder observers(EventLog log, MetricRegistry registry) {
             events = Objects.requireNonNull(log, "log");
@@ -108,7 +116,8 @@
         /** Returns the relay. */
         public Relay build() {
             return new Relay(RelayAssembly.of(new RelayAssembly.Inputs(
-                    vertx, settings, catalogs, upstreams, codec, engines, workers, clock, random, events, metrics)));
+                    vertx, settings, catalogs, upstreams, codec, engines, workers, clock, random, ownShare, events,
+                    metrics)));
         }
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -20,6 +20,7 @@
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
 
 /** Puts the parts of a relay together. */
@@ -41,9 +42,6 @@
     /** What copying a generation to another zone costs, which takes twice the time of the link, in prompt tokens. */
     private static final int TOKENS_FOR_MOVE_TO_OTHER_ZONE = 4_000;
 
-    /** Entries that share the budgets where their number is not known. */
-    private static final int ASSUMED_ENTRIES = 8;
-
     private final FrontServer front;
     private final ReadyServer ready;
     private final LoadReader loads;
@@ -65,6 +63,7 @@
             WorkerPool workers,
             MonotonicClock clock,
             RandomGenerator random,
+            DoubleSupplier ownShare,
             EventLog events,
             MetricRegistry metrics) {}
 
@@ -107,7 +106,10 @@
                 inputs.upstreams(),
                 inputs.codec(),
                 inputs.engines(),
-                new RepeatPolicy(settings.retryRatio(), settings.retryExtra() / ASSUMED_ENTRIES, random),
+                new RepeatPolicy(
+                        settings.retryRatio(),
+                        () -> settings.retryExtra() * inputs.ownShare().getAsDouble(),
+                        random),
                 generations,
                 new RelayMeters(inputs.metrics()),
                 clock,
@@ -140,7 +142,7 @@
                 new UpstreamChoice.EnginePolicies(soonest, targetsNear, targetsAnywhere),
                 plainRouter,
                 coldCalls,
-                () -> ASSUMED_ENTRIES,
+                inputs.ownShare(),
                 random);
     }
 
--- a/relay/src/main/java/coriandersill/relay/internal/RepeatPolicy.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RepeatPolicy.java
@@ -7,16 +7,17 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
 
 /** Gives each call the retry policy of its route, within one budget for each service; safe for use by many threads. */
 final class RepeatPolicy {
     private final double ratio;
-    private final double burst;
+    private final DoubleSupplier burst;
     private final RandomGenerator random;
     private final Map<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
 
-    RepeatPolicy(double ratio, double burst, RandomGenerator random) {
+    RepeatPolicy(double ratio, DoubleSupplier burst, RandomGenerator random) {
         this.ratio = ratio;
         this.burst = burst;
         this.random = random;
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -23,7 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
 
 /** Chooses the upstream of a call among those that are in service now, and keeps the books of what is in flight. */
@@ -43,7 +43,7 @@
     private final EnginePolicies policies;
     private final Router plain;
     private final ColdCallShare coldCalls;
-    private final IntSupplier entries;
+    private final DoubleSupplier ownShare;
     private final RandomGenerator random;
     private final Set<ServiceName> engineServices = ConcurrentHashMap.newKeySet();
 
@@ -54,7 +54,7 @@
             EnginePolicies policies,
             Router plain,
             ColdCallShare coldCalls,
-            IntSupplier entries,
+            DoubleSupplier ownShare,
             RandomGenerator random) {
         this.settings = settings;
         this.upstreams = upstreams;
@@ -62,7 +62,7 @@
         this.policies = policies;
         this.plain = plain;
         this.coldCalls = coldCalls;
-        this.entries = entries;
+        this.ownShare = ownShare;
         this.random = random;
     }
 
@@ -239,7 +239,7 @@
             return true;
         }
         double borne = perSecond * settings.coldFactor() + settings.coldExtra();
-        return coldCalls.tryCall(instance, borne, entries.getAsInt());
+        return coldCalls.tryCall(instance, borne * ownShare.getAsDouble());
     }
 
     private static List<CandidateInfo> infos(CallPlan plan, List<Upstream> known) {
--- a/routing/src/main/java/coriandersill/routing/RetryBudget.java
+++ b/routing/src/main/java/coriandersill/routing/RetryBudget.java
@@ -2,6 +2,7 @@
 
 import coriandersill.core.lock.LockRank;
 import coriandersill.core.lock.RankedLock;
+import java.util.function.DoubleSupplier;
 
 /**
  * A token bucket that holds repeated attempts to a part of the first attempts.
@@ -12,13 +13,13 @@
 public final class RetryBudget {
     private final RankedLock lock = RankedLock.of(LockRank.ROUTING);
     private final double ratio;
-    private final double burst;
+    private final DoubleSupplier burst;
     private double tokens;
 
-    private RetryBudget(double ratio, double burst) {
+    private RetryBudget(double ratio, DoubleSupplier burst) {
         this.ratio = ratio;
         this.burst = burst;
-        this.tokens = burst;
+        this.tokens = burst.getAsDouble();
     }
 
     /** Returns a full bucket; {@code ratio} is from 0 to 1 and {@code burst} 0 or more. */
@@ -27,12 +28,18 @@
             throw new IllegalArgumentException(
                     "expected ratio from 0 to 1 and burst >= 0, found " + ratio + " and " + burst);
         }
+        return new RetryBudget(ratio, () -> burst);
+    }
+
+    /** Returns a full bucket whose burst changes, as where it is a part of what several processes share. */
+    public static RetryBudget of(double ratio, DoubleSupplier burst) {
+        of(ratio, burst.getAsDouble());
         return new RetryBudget(ratio, burst);
     }
 
     /** Notes a first attempt. */
     public void firstAttempt() {
-        lock.run(() -> tokens = Math.min(Math.max(1, burst), tokens + ratio));
+        lock.run(() -> tokens = Math.min(Math.max(1, burst.getAsDouble()), tokens + ratio));
     }
 
     /** Takes one repeat from the budget; returns false when there is none. */
--- a/upstreams/src/main/java/coriandersill/upstreams/ColdCallShare.java
+++ b/upstreams/src/main/java/coriandersill/upstreams/ColdCallShare.java
@@ -14,8 +14,8 @@
 /**
  * Holds the calls to each cold upstream within this entry's part of what the upstream bears.
  *
- * <p>Every entry takes an equal part of the limit for each second, so that the sum over all entries stays within it
- * whether or not they are in touch. Safe for use by many threads: guarded by a lock of rank {@link LockRank#ROUTING}.
+ * <p>Every entry takes its part of the limit for each second, so that the sum over all entries stays within it whether
+ * or not they are in touch. Safe for use by many threads: guarded by a lock of rank {@link LockRank#ROUTING}.
  */
 public final class ColdCallShare {
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -33,15 +33,15 @@
         return new ColdCallShare(clock);
     }
 
-    /** Counts a call to {@code instance} if fewer than {@code perSecond / entries} went there in the last second. */
-    public boolean tryCall(InstanceId instance, double perSecond, int entries) {
+    /** Counts a call to {@code instance} if fewer than {@code ownPerSecond} went there in the last second. */
+    public boolean tryCall(InstanceId instance, double ownPerSecond) {
         return lock.with(() -> {
             long now = clock.nanos();
             Deque<Long> times = sent.computeIfAbsent(instance, id -> new ArrayDeque<>());
             while (!times.isEmpty() && now - times.peekFirst() >= WINDOW_NANOS) {
                 times.removeFirst();
             }
-            if (times.size() + 1 > Math.max(1, perSecond / Math.max(1, entries))) {
+            if (times.size() + 1 > Math.max(1, ownPerSecond)) {
                 return false;
             }
             times.addLast(now);
