Soak entries as separate processes under random faults

Entries run as processes of their own; the store and the upstreams are the stand-ins of the entry's tests, each behind a loopback proxy that delays, resets, silences or takes answers away. A seed decides stops, kills, pauses and restarts of entries, troubles of the store and of each entry's path to it, upstreams that leave, crash and are replaced, and keys that are taken away; the series overlap.

--- /dev/null
+++ b/soak/src/main/java/coriandersill/soak/SoakCommand.java
@@ -0,0 +1,63 @@
+package coriandersill.soak;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** The command that soaks entries with fresh seeds, or with one again. */
+@Command(name = "coriandersill-soak", description = "Runs entries under random faults and checks what callers see")
+public final class SoakCommand {
+    private static final int USAGE_EXIT_CODE = 2;
+    private static final int FRESH = -1;
+
+    @Option(name = "--seed", description = "the first seed; drawn by default")
+    private long seed = FRESH;
+
+    @Option(name = "--runs", description = "how many seeds, one after another (default 1)")
+    private int runs = 1;
+
+    @Option(name = "--seconds", description = "how long faults come in each run (default 20)")
+    private int seconds = 20;
+
+    @Option(name = "--minutes", description = "goes on with further seeds for so long, whatever --runs says")
+    private int minutes;
+
+    @Option(name = "--entries", description = "how many entries (default 3)")
+    private int entries = 3;
+
+    /** Runs the command; ends with 1 if a promise was broken. */
+    public static void main(String[] args) throws Exception {
+        try {
+            System.exit(
+                    SingleCommand.singleCommand(SoakCommand.class).parse(args).run());
+        } catch (ParseException wrong) {
+            System.err.println(wrong.getMessage());
+            System.exit(USAGE_EXIT_CODE);
+        }
+    }
+
+    private int run() throws Exception {
+        long first = seed == FRESH ? ThreadLocalRandom.current().nextInt(Integer.MAX_VALUE) : seed;
+        long end = System.nanoTime() + Duration.ofMinutes(minutes).toNanos();
+        int failed = 0;
+        int done = 0;
+        while (done < runs || System.nanoTime() < end) {
+            long current = first + done++;
+            Soak.Report report =
+                    Soak.of(current, entries, Duration.ofSeconds(seconds)).run();
+            System.out.println("seed " + current + ": " + report.calls() + " calls, " + report.served() + " served, "
+                    + report.faults().size() + " faults, " + report.broken().size() + " promises broken");
+            if (!report.broken().isEmpty()) {
+                failed++;
+                report.faults().forEach(System.out::println);
+                report.broken().forEach(System.out::println);
+                System.out.println("logs: " + report.logs());
+            }
+        }
+        System.out.println(done + " runs, " + failed + " with broken promises");
+        return failed == 0 ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/coriandersill/soak/Upstream.java
@@ -0,0 +1,102 @@
+package coriandersill.soak;
+
+import coriandersill.platform.PlatformWords;
+import coriandersill.platform.StandInWorker;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** An upstream behind a proxy; plain ones refuse, fail and spoil some calls, by the call's identifier. */
+final class Upstream {
+    static final String PLAIN = "ledger";
+    static final String ENGINE = "scribe";
+
+    private static final long WORK_MILLIS = 15;
+
+    /** One call in so many meets each kind of trouble. */
+    private static final int TROUBLE_EACH = 25;
+
+    private final String id;
+    private final String service;
+    private final StandInWorker worker;
+    private final LoopbackProxy proxy;
+    private final Set<String> refused = ConcurrentHashMap.newKeySet();
+    private volatile long leavingAt = Long.MAX_VALUE;
+
+    private Upstream(Vertx vertx, String id, String service) throws Exception {
+        this.id = id;
+        this.service = service;
+        this.worker = service.equals(ENGINE)
+                ? StandInWorker.engine(vertx)
+                : StandInWorker.start(
+                        vertx, (request, socket) -> vertx.setTimer(WORK_MILLIS, timer -> answer(request, socket)));
+        this.proxy = LoopbackProxy.to(vertx, worker.port());
+    }
+
+    static Upstream start(Vertx vertx, String id, String service) throws Exception {
+        return new Upstream(vertx, id, service);
+    }
+
+    private void answer(StandInWorker.Received request, NetSocket socket) {
+        switch (Math.floorMod(request.call().hashCode(), TROUBLE_EACH)) {
+            case 0 -> {
+                refused.add(request.call());
+                socket.write(PlatformWords.refusal());
+            }
+            case 1 -> socket.close();
+            case 2 -> {
+                StandInWorker.ok(request, socket, text(request.call()));
+                StandInWorker.ok(request, socket, "of another call");
+            }
+            default -> StandInWorker.ok(request, socket, text(request.call()));
+        }
+    }
+
+    /** The body of the answer to a call. */
+    static String text(String call) {
+        return "done " + call;
+    }
+
+    String id() {
+        return id;
+    }
+
+    String service() {
+        return service;
+    }
+
+    StandInWorker worker() {
+        return worker;
+    }
+
+    LoopbackProxy proxy() {
+        return proxy;
+    }
+
+    boolean refused(String call) {
+        return refused.contains(call);
+    }
+
+    /** When it was listed as leaving, in nanoseconds. */
+    long leavingAt() {
+        return leavingAt;
+    }
+
+    boolean leaving() {
+        return leavingAt != Long.MAX_VALUE;
+    }
+
+    void leaves() {
+        leavingAt = System.nanoTime();
+    }
+
+    void end() {
+        proxy.close();
+        try {
+            worker.close();
+        } catch (Exception notClosed) {
+            throw new IllegalStateException(id + " does not end", notClosed);
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/coriandersill/soak/SoakTest.java
@@ -0,0 +1,22 @@
+package coriandersill.soak;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Short runs with fixed seeds; a seed that ever failed stays here with a line on its cause. */
+final class SoakTest {
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void promisesHoldWhileEntriesStoreAndUpstreamsAreDisturbed(long seed) throws Exception {
+        Soak.Report report = Soak.of(seed, 2, Duration.ofSeconds(8)).run();
+
+        assertThat(report.logs() + " " + report.faults(), report.broken(), is(empty()));
+        assertThat(report.served(), greaterThan(100L));
+    }
+}
