Remove what the adapter decoded and nothing used

Limits of heads and idle connections, priorities, the pause between events, an answer's word on its connection, and two counts of a report were decoded into records that no decision reads.

--- a/catalog/src/main/java/coriandersill/catalog/RouteRule.java
+++ b/catalog/src/main/java/coriandersill/catalog/RouteRule.java
@@ -14,8 +14,6 @@
  * @param kind what may be repeated
  * @param timeout the longest time that a call is kept waiting
  * @param target the time within which an answer, or a stream's first event, is on time
- * @param targetGap the longest pause between the events of a stream that is on time; zero for plain calls
- * @param priority the rank, where 0 goes first
  * @param shares the services that take the calls; at least one
  * @param maxAttempts the most upstreams that one attempt of a caller may run on; 1 or more
  * @param open whether calls need no key
@@ -29,8 +27,6 @@
         CallKind kind,
         Duration timeout,
         Duration target,
-        Duration targetGap,
-        int priority,
         List<TrafficShare> shares,
         int maxAttempts,
         boolean open,
--- a/catalog/src/test/java/coriandersill/catalog/CatalogTest.java
+++ b/catalog/src/test/java/coriandersill/catalog/CatalogTest.java
@@ -14,8 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 final class CatalogTest {
-    private static final CallLimits LIMITS =
-            new CallLimits(16_384, 1_000_000, Duration.ofSeconds(3), Duration.ofSeconds(15));
+    private static final CallLimits LIMITS = new CallLimits(1_000_000);
 
     @Test
     void theLongestPrefixThatBeginsThePathDecides() {
@@ -66,8 +65,6 @@
                 CallKind.GENERATION,
                 Duration.ofSeconds(39),
                 Duration.ofSeconds(2),
-                Duration.ofMillis(180),
-                0,
                 List.of(new TrafficShare(ServiceName.of("scribe"), 1)),
                 1,
                 false,
--- a/relay/src/main/java/coriandersill/relay/EngineReport.java
+++ b/relay/src/main/java/coriandersill/relay/EngineReport.java
@@ -9,12 +9,9 @@
  *
  * @param leaving whether it takes no new work
  * @param leavesIn how long it stays; empty where it does not know
- * @param waiting requests that wait to run
- * @param usedTokens memory that cannot yield
  * @param runs the generations that run
  */
-public record EngineReport(
-        boolean leaving, Optional<Duration> leavesIn, int waiting, long usedTokens, List<ReportedRun> runs) {
+public record EngineReport(boolean leaving, Optional<Duration> leavesIn, List<ReportedRun> runs) {
 
     /**
      * A generation that runs at an engine.
