--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamChoice.java
@@ -108,7 +108,7 @@
     /**
      * Chooses an upstream and counts the call as in flight there; empty if none takes it now.
      *
-     * @param preferred the engines of which the load is known, which go before all others that have no more room
+     * @param preferred engines whose load was just read; they go before all others while one of them has room
      */
     Optional<Chosen> choose(CallPlan plan, Set<InstanceId> excluded, Set<InstanceId> preferred) {
         List<Upstream> known = upstreams.inService(plan.service().name()).stream()
--- a/soak/src/main/java/coriandersill/soak/EntryDaemon.java
+++ b/soak/src/main/java/coriandersill/soak/EntryDaemon.java
@@ -63,7 +63,7 @@
                 "-cp",
                 System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
                 "coriandersill.platform.Main");
-        builder.environment().put("CORIANDERSILL_CONFIG", settings.toString());
+        builder.environment().put(PlatformWords.SETTINGS_VARIABLE, settings.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString())));
         process = builder.start();
     }
