Record a withdrawn rollout once, by the entry that leads it

Every collector of evidence records a rollback at once; which one reads the other's record first was left to chance. Change: the entry that found it or leads the rollout records it at once, other collectors two to four seconds later if nobody has. Calls don't wait for the record: each entry stops the version itself.

--- a/rollout-log/src/main/java/coriandersill/rollout/log/RolloutSteps.java
+++ b/rollout-log/src/main/java/coriandersill/rollout/log/RolloutSteps.java
@@ -26,6 +26,8 @@
 /** Judges the evidence of rollouts and appends their next records; called by one tick at a time. */
 final class RolloutSteps {
     private static final long RETRY_MILLIS = 2_000;
+    private static final long COLLECTORS_DELAY_MILLIS = 2_000;
+    private static final long COLLECTORS_SPREAD_MILLIS = 2_000;
     private static final long OTHERS_DELAY_MILLIS = 10_000;
     private static final long OTHERS_SPREAD_MILLIS = 20_000;
 
@@ -89,21 +91,32 @@
         }
     }
 
-    /** Appends a rollback: at once when this process found it or collects, later when nobody else has. */
+    /** Appends a rollback: at once when this process found it or leads the rollout, later when nobody else has. */
     private void rollBack(RolloutTrack track, RolloutVerdict verdict) {
-        boolean mine = verdict.source().equals(settings.self)
-                || exchange.collects(verdict.id().service());
         long now = settings.clock.millis();
-        if (track.nextRollbackMillis() == 0 && !mine) {
-            track.nextRollbackMillis(now + othersDelay());
+        long wait = rollbackWait(verdict);
+        if (track.nextRollbackMillis() == 0 && wait > 0) {
+            track.nextRollbackMillis(now + wait);
         }
         if (now < track.nextRollbackMillis()) {
             return;
         }
-        track.nextRollbackMillis(now + (mine ? RETRY_MILLIS : othersDelay()));
+        track.nextRollbackMillis(now + Math.max(RETRY_MILLIS, wait));
         append(track, RolloutTransition.rollback(verdict.id(), settings.self, verdict.evidence()));
     }
 
+    /** How long others are given to record a rollback first; nobody's calls wait for the record. */
+    private long rollbackWait(RolloutVerdict verdict) {
+        ServiceName service = verdict.id().service();
+        boolean leads = settings.leases.token(RolloutService.leaseName(service)).isPresent();
+        if (verdict.source().equals(settings.self) || (leads && exchange.collects(service))) {
+            return 0;
+        }
+        return exchange.collects(service)
+                ? COLLECTORS_DELAY_MILLIS + settings.random.nextLong(COLLECTORS_SPREAD_MILLIS)
+                : othersDelay();
+    }
+
     private void forward(RolloutTrack track) {
         RolloutPlan plan = track.plan();
         ServiceName service = plan.id().service();
--- a/rollout-log/src/test/java/coriandersill/rollout/log/RolloutServiceTest.java
+++ b/rollout-log/src/test/java/coriandersill/rollout/log/RolloutServiceTest.java
@@ -116,6 +116,26 @@
         assertThat(entries.verdicts(id), everyItem(is(RolloutPhase.ROLLED_BACK)));
     }
 
+    @Test
+    void aRolloutThatIsWithdrawnIsRecordedOnceThoughAllEntriesHearOfItAtOnce() {
+        RolloutId id = entries.declare(1, Duration.ofMinutes(40));
+        entries.lease(0, 7);
+        entries.run(Duration.ofSeconds(10));
+        long before = entries.log().appends();
+        entries.withdraw(id);
+        entries.run(Duration.ofMinutes(1));
+        assertThat(entries.verdicts(id), everyItem(is(RolloutPhase.ROLLED_BACK)));
+        assertThat(entries.log().appends() - before, is(1L));
+    }
+
+    @Test
+    void aRolloutThatIsWithdrawnIsRecordedWithinSecondsThoughNobodyHoldsTheLease() {
+        RolloutId id = entries.declare(1, Duration.ofMinutes(40));
+        entries.withdraw(id);
+        entries.run(Duration.ofSeconds(8));
+        assertThat(entries.verdicts(id), everyItem(is(RolloutPhase.ROLLED_BACK)));
+    }
+
     @Test
     void withoutALeaseNothingGoesForward() {
         entries.declare(1, Duration.ofMinutes(10));
