--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -54,6 +54,10 @@
     INSTANCE_LIST_DOUBTED(312, Level.WARNING, "instance list not applied"),
     /** An engine did not answer a request for its report. */
     ENGINE_SILENT(313, Level.WARNING, "engine does not report"),
+    /**
+     * Connections to an engine broke; the details state whether its process ended and which generations had not begun.
+     */
+    ENGINE_BROKE(314, Level.WARNING, "connections to an engine broke"),
     /** A call failed. */
     CALL_FAILED(400, Level.INFO, "call failed"),
     /** A call was sent to another upstream after a rejection, or after a failure before the first token. */
--- a/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
@@ -48,6 +48,7 @@
                 "quota",
                 "rollout",
                 "catalog",
+                "quarantine",
                 "upstreams"
             })
     void aDecisionLibraryDependsOnlyOnCoreAndTheJdkAndReadsNoClockOrRandomSource(String module) throws IOException {
--- a/relay/src/main/java/coriandersill/relay/CallRequest.java
+++ b/relay/src/main/java/coriandersill/relay/CallRequest.java
@@ -1,8 +1,10 @@
 package coriandersill.relay;
 
+import coriandersill.quarantine.PromptPart;
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -40,6 +42,13 @@
      * @param maxOutputTokens the maximum number of tokens to generate
      * @param expectedOutputTokens the number of tokens that the caller expects to be generated
      * @param prefixHash a hash of the prefix shared with other prompts; 0 for none
+     * @param sharedParts the parts of the prompt that other generations may share, in order
      */
-    public record Prompt(int tokens, int maxOutputTokens, int expectedOutputTokens, long prefixHash) {}
+    public record Prompt(
+            int tokens, int maxOutputTokens, int expectedOutputTokens, long prefixHash, List<PromptPart> sharedParts) {
+        /** Copies the list. */
+        public Prompt {
+            sharedParts = List.copyOf(sharedParts);
+        }
+    }
 }
--- a/relay/src/main/java/coriandersill/relay/EngineReport.java
+++ b/relay/src/main/java/coriandersill/relay/EngineReport.java
@@ -7,11 +7,13 @@
 /**
  * The state that an engine reports of itself; it is some hundred milliseconds old.
  *
+ * @param startedAtMillis when the engine started, in Unix milliseconds by its own clock; 0 if unspecified
  * @param leaving whether the engine accepts no new work
  * @param timeLeft the time until the engine shuts down; empty if unknown
  * @param generations the running generations
  */
-public record EngineReport(boolean leaving, Optional<Duration> timeLeft, List<ReportedGeneration> generations) {
+public record EngineReport(
+        long startedAtMillis, boolean leaving, Optional<Duration> timeLeft, List<ReportedGeneration> generations) {
 
     /**
      * A generation running on an engine.
--- a/relay/src/main/java/coriandersill/relay/internal/CallPlan.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallPlan.java
@@ -3,8 +3,10 @@
 import coriandersill.catalog.RouteRule;
 import coriandersill.catalog.ServiceDefinition;
 import coriandersill.core.WorkspaceName;
+import coriandersill.quarantine.PromptPart;
 import coriandersill.relay.CallRequest;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -42,6 +44,11 @@
                 .isPresent();
     }
 
+    /** Returns the shared parts of the prompt; empty for plain calls. */
+    List<PromptPart> sharedParts() {
+        return request.prompt().map(CallRequest.Prompt::sharedParts).orElse(List.of());
+    }
+
     /** Returns the length of the prompt in tokens; 0 for plain calls. */
     int promptTokens() {
         return request.prompt().map(CallRequest.Prompt::tokens).orElse(0);
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -217,6 +217,7 @@
         private ResponseHead head;
         private CallFailure failure;
         private boolean firstEventReceived;
+        private long eventsOfEngine;
 
         private StreamListener(UpstreamSelector.Selection target, KvCacheCopy copy) {
             this.target = target;
@@ -253,6 +254,7 @@
                     firstEventReceived = true;
                     handleFirstEvent();
                 }
+                eventsOfEngine++;
                 forward(event);
             }
         }
@@ -268,6 +270,10 @@
             }
         }
 
+        private BrokenGeneration brokenGeneration() {
+            return new BrokenGeneration(callId(), eventsOfEngine, plan.workspace(), plan.sharedParts());
+        }
+
         /** Fails a continuation that has not responded within the timeout. */
         private void failIfNoHead() {
             if (head == null && exchange != null && selection.equals(target) && !hasEnded()) {
@@ -334,6 +340,9 @@
         @Override
         public void failed(CallFailure streamFailure) {
             exchange = null;
+            if (streamFailure.kind() != ErrorKind.UNAVAILABLE) {
+                components.crashDetector().connectionBroke(target.upstream(), brokenGeneration());
+            }
             CallFailure cause =
                     streamFailure.kind() == ErrorKind.UNAVAILABLE ? streamFailure.withRan(Ran.NO) : streamFailure;
             if (copy != null && !firstEventReceived && move != null && cause.ran() == Ran.NO) {
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -93,6 +93,7 @@
                 generations,
                 clock,
                 dependencies.events());
+        RelayMetrics metrics = new RelayMetrics(dependencies.metrics());
         RelayComponents components = new RelayComponents(
                 vertx,
                 client,
@@ -101,6 +102,8 @@
                 new CallPlanner(dependencies.catalogs(), settings.maxCatalogAge(), random),
                 selector,
                 loadReader,
+                new CrashDetector(
+                        vertx, dependencies.engineControl(), dependencies.upstreams(), metrics, dependencies.events()),
                 dependencies.upstreams(),
                 dependencies.codec(),
                 dependencies.engineControl(),
@@ -109,7 +112,7 @@
                         () -> settings.retryBurst() * dependencies.ownShare().getAsDouble(),
                         random),
                 generations,
-                new RelayMetrics(dependencies.metrics()),
+                metrics,
                 clock,
                 random,
                 dependencies.events());
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -20,6 +20,7 @@
         CallPlanner planner,
         UpstreamSelector selector,
         LoadReader loadReader,
+        CrashDetector crashDetector,
         UpstreamTable upstreams,
         CallCodec codec,
         EngineControl engineControl,
--- a/relay/src/main/java/coriandersill/relay/internal/RelayServer.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayServer.java
@@ -159,6 +159,7 @@
                 EventCode.CALL_TAKEN,
                 0,
                 Map.of(
+                        "parts", plan.sharedParts(),
                         "route", plan.route().name(),
                         "service", plan.service().name(),
                         "workspace", plan.workspace().map(Object::toString).orElse(""),
