Quarantine prompt parts that crash engines

Callers saw: generations of one kind crashed one engine after another, and with each all other generations there. Cause: every entry judged a broken connection by itself and as a fault of the engine; nothing related crashes to what their requests had in common, neither within an entry nor over all.

An engine whose connections break is now asked whether its process ended. If it did and had not announced a departure, the prompt parts of the generations that it had not proven to serve are reported to all entries by a keyed topic. A part that was there at three crashes in a row, with no success between them, is quarantined; while the crashes have more in common (another part, the workspace), only generations with all of it are refused. A success anywhere acquits a part. Entries that start take over the verdicts.

--- a/core/src/main/java/coriandersill/core/ErrorKind.java
+++ b/core/src/main/java/coriandersill/core/ErrorKind.java
@@ -21,6 +21,8 @@
     OVERLOADED(Ran.NO),
     /** No upstream in service can take this call. */
     UNAVAILABLE(Ran.NO),
+    /** A part of the prompt has crashed engines, so the generation is not sent to another one. */
+    QUARANTINED(Ran.NO),
     /** The process is shutting down and accepts no new work. */
     DRAINING(Ran.NO),
     /** The deadline passed; the work was not dispatched unless {@link CallFailure#ran()} states otherwise. */
--- a/core/src/main/java/coriandersill/core/lock/LockRank.java
+++ b/core/src/main/java/coriandersill/core/lock/LockRank.java
@@ -19,6 +19,8 @@
     ROLLOUT,
     /** Usage of capacity shares and caps per workspace, and the current admission controller of an upstream. */
     QUOTA,
+    /** Prompt parts that are suspected of crashing engines. */
+    QUARANTINE,
     /** In-flight counts, ejections and retry budgets. */
     ROUTING,
     /** Running and waiting requests at one upstream. */
--- a/entry/src/main/java/coriandersill/entry/internal/ErrorMapping.java
+++ b/entry/src/main/java/coriandersill/entry/internal/ErrorMapping.java
@@ -19,6 +19,7 @@
         STATUS.put(ErrorKind.QUOTA_EXCEEDED, 429);
         STATUS.put(ErrorKind.OVERLOADED, 503);
         STATUS.put(ErrorKind.UNAVAILABLE, 503);
+        STATUS.put(ErrorKind.QUARANTINED, 503);
         STATUS.put(ErrorKind.DRAINING, 503);
         STATUS.put(ErrorKind.DEADLINE_EXCEEDED, 504);
         STATUS.put(ErrorKind.FENCED, 409);
--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -82,6 +82,10 @@
     CALLER_LEFT(410, Level.INFO, "caller disconnected"),
     /** The trace of a call reached its maximum length; further decisions were not recorded. */
     CALL_LINES_DROPPED(411, Level.WARNING, "trace of a call truncated"),
+    /** A generation was refused because a part of its prompt has crashed engines; the details give the evidence. */
+    CALL_QUARANTINED(412, Level.INFO, "call refused, its prompt has crashed engines"),
+    /** A generation was admitted to test whether a part of its prompt still crashes engines. */
+    QUARANTINE_PROBE(413, Level.INFO, "call tests a quarantined prompt part"),
     /** The move of a running generation has started, because its engine is leaving or its stream broke. */
     GENERATION_MOVING(420, Level.INFO, "generation is moving"),
     /** A generation continues on another engine. */
@@ -96,6 +100,12 @@
     SHARE_CHANGED(425, Level.INFO, "share changed"),
     /** The store did not return this entry's share; the last known share stays in use. */
     SHARE_KEPT(426, Level.INFO, "share not refreshed"),
+    /** Generations with a prompt part are refused from now on; the details give the evidence. */
+    PART_QUARANTINED(430, Level.WARNING, "prompt part quarantined"),
+    /** A prompt part is no longer quarantined. */
+    PART_RELEASED(431, Level.INFO, "prompt part released"),
+    /** What this entry learned of crashes could not be sent to the other entries in time. */
+    QUARANTINE_NOT_SENT(432, Level.WARNING, "crash evidence not sent"),
     /** An upstream has returned to the cold state. */
     UPSTREAM_COLD(500, Level.WARNING, "upstream is cold"),
     /** An upstream has shown that it sustains its full limit. */
--- a/relay/src/main/java/coriandersill/relay/Relay.java
+++ b/relay/src/main/java/coriandersill/relay/Relay.java
@@ -5,6 +5,7 @@
 import coriandersill.core.ManagedService;
 import coriandersill.core.MonotonicClock;
 import coriandersill.events.EventLog;
+import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.internal.RelayAssembly;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
@@ -70,6 +71,7 @@
         private MonotonicClock clock = MonotonicClock.system();
         private RandomGenerator random;
         private DoubleSupplier ownShare = () -> 1;
+        private PromptQuarantine quarantine;
         private EventLog events = EventLog.none();
         private MetricRegistry metrics = new MetricRegistry();
 
@@ -116,6 +118,12 @@
             return this;
         }
 
+        /** Sets the quarantine of prompt parts that crash engines. */
+        public Builder quarantine(PromptQuarantine value) {
+            quarantine = Objects.requireNonNull(value, "quarantine");
+            return this;
+        }
+
         /** Sets the event log and the metric registry. */
         public Builder observers(EventLog log, MetricRegistry registry) {
             events = Objects.requireNonNull(log, "log");
@@ -136,6 +144,7 @@
                     clock,
                     random,
                     ownShare,
+                    quarantine,
                     events,
                     metrics)));
         }
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -5,7 +5,10 @@
 import coriandersill.core.InstanceId;
 import coriandersill.core.Ran;
 import coriandersill.events.EventCode;
+import coriandersill.quarantine.CallTraits;
+import coriandersill.quarantine.QuarantineDecision;
 import coriandersill.relay.KvCacheCopy;
+import coriandersill.relay.QuarantineEvents;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
 import coriandersill.routing.AttemptFailure;
@@ -51,6 +54,7 @@
     final CallerConnection caller;
     final CallTrace trace;
     private final Context context;
+    final CallTraits traits;
     private final long arrivedAtNanos;
     private final RetryPolicy retryPolicy;
     private final Set<InstanceId> excluded = new HashSet<>();
@@ -80,6 +84,7 @@
         this.trace = trace;
         this.context = components.vertx().getOrCreateContext();
         this.arrivedAtNanos = arrivedAtNanos;
+        this.traits = plan.traits();
         this.retryPolicy = components.retryPolicies().forCall(plan);
     }
 
@@ -92,6 +97,9 @@
         findUpstream();
     }
 
+    /** Returns whether an engine has begun to generate, so that the call itself does not crash engines. */
+    abstract boolean hasBegun();
+
     /** Returns a listener for the exchange with {@code target}. */
     abstract UpstreamExchange.Listener createListener(UpstreamSelector.Selection target);
 
@@ -127,6 +135,9 @@
 
     /** Selects an upstream and sends the call there, or waits until one is available. */
     final void findUpstream() {
+        if (isRefusedByQuarantine()) {
+            return;
+        }
         if (plan.service().engine().isEmpty()) {
             selectUpstream(Set.of());
             return;
@@ -137,6 +148,30 @@
                 .thenAccept(answered -> runOnContext(() -> selectUpstream(answered))));
     }
 
+    /** Fails the call if a part of its prompt is quarantined and no engine has begun it; returns whether it did. */
+    private boolean isRefusedByQuarantine() {
+        if (hasBegun()) {
+            return false;
+        }
+        QuarantineDecision decision =
+                components.quarantine().check(plan.request().id(), traits);
+        if (decision instanceof QuarantineDecision.Refused refused) {
+            trace.record(EventCode.CALL_QUARANTINED, elapsedMillis(), QuarantineEvents.evidence(refused.verdict()));
+            components.metrics().increment("relay.quarantine.refused");
+            fail(CallFailure.of(
+                            ErrorKind.QUARANTINED,
+                            "a part of the prompt was in generations at "
+                                    + refused.verdict().crashes() + " consecutive crashes of engines")
+                    .withRan(ranBefore)
+                    .withRetryAfter(refused.retryAfter()));
+            return true;
+        }
+        if (decision instanceof QuarantineDecision.Probe probe) {
+            trace.record(EventCode.QUARANTINE_PROBE, elapsedMillis(), QuarantineEvents.evidence(probe.verdict()));
+        }
+        return false;
+    }
+
     private void selectUpstream(Set<InstanceId> preferred) {
         runOnWorker(() -> components.selector().selectUpstream(plan, Set.copyOf(excluded), preferred), found -> {
             if (found.isPresent()) {
@@ -223,6 +258,11 @@
         if (!inService && !ended) {
             attemptFailed(target, CallFailure.of(ErrorKind.DRAINING, "upstream left before the request was written"));
         }
+        if (inService && !ended && isRefusedByQuarantine()) {
+            recordResult(target, CallResult.failed(ErrorKind.DRAINING));
+            exchange = null;
+            return false;
+        }
         return inService;
     }
 
--- a/relay/src/main/java/coriandersill/relay/internal/CallPlan.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallPlan.java
@@ -3,6 +3,7 @@
 import coriandersill.catalog.RouteRule;
 import coriandersill.catalog.ServiceDefinition;
 import coriandersill.core.WorkspaceName;
+import coriandersill.quarantine.CallTraits;
 import coriandersill.quarantine.PromptPart;
 import coriandersill.relay.CallRequest;
 import java.time.Duration;
@@ -49,6 +50,11 @@
         return request.prompt().map(CallRequest.Prompt::sharedParts).orElse(List.of());
     }
 
+    /** Returns what the call has in common with others. */
+    CallTraits traits() {
+        return CallTraits.of(workspace, sharedParts());
+    }
+
     /** Returns the length of the prompt in tokens; 0 for plain calls. */
     int promptTokens() {
         return request.prompt().map(CallRequest.Prompt::tokens).orElse(0);
--- a/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
@@ -1,15 +1,17 @@
 package coriandersill.relay.internal;
 
-import coriandersill.core.CallFailure;
-import coriandersill.core.InstanceId;
 import coriandersill.core.lock.LockRank;
 import coriandersill.core.lock.RankedLock;
 import coriandersill.events.EventCode;
 import coriandersill.events.EventLog;
+import coriandersill.quarantine.CallTraits;
+import coriandersill.quarantine.EngineIncarnation;
+import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.EngineProcessState;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamTable;
+import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,7 +20,9 @@
 import java.util.Map;
 
 /**
- * Determines whether an engine's process ended when connections to it broke, and which generations had not begun there.
+ * Determines whether an engine's process ended when connections to it broke, and reports the generations that may have
+ * crashed it: those that it had not proven to serve. An engine that was leaving is not reported, and neither is a
+ * generation that the caller or this entry cancelled.
  *
  * <p>All connections of a process that ends break at about the same time, so breaks are collected for
  * {@link #COLLECTION_MILLIS} before the engine is asked. Thread-safe: guarded by a lock of rank
@@ -28,31 +32,42 @@
     /** How long breaks of one engine are collected before it is asked whether it still runs. */
     private static final long COLLECTION_MILLIS = 25;
 
+    /** The number of events after which a generation counts as served: the engine outlived its beginning. */
+    static final long EVENTS_OF_SUCCESS = 2;
+
     /** The maximum number of broken generations collected for one engine. */
     private static final int MAX_GENERATIONS = 64;
 
     private final RankedLock lock = RankedLock.of(LockRank.STREAMS);
-    private final Map<Incarnation, List<BrokenGeneration>> collecting = new HashMap<>();
+    private final Map<EngineIncarnation, List<BrokenGeneration>> collecting = new HashMap<>();
     private final Vertx vertx;
     private final EngineControl engineControl;
     private final UpstreamTable upstreams;
+    private final PromptQuarantine quarantine;
+    private final WorkerPool workers;
     private final RelayMetrics metrics;
     private final EventLog events;
 
     CrashDetector(
-            Vertx vertx, EngineControl engineControl, UpstreamTable upstreams, RelayMetrics metrics, EventLog events) {
+            Vertx vertx,
+            EngineControl engineControl,
+            UpstreamTable upstreams,
+            PromptQuarantine quarantine,
+            WorkerPool workers,
+            RelayMetrics metrics,
+            EventLog events) {
         this.vertx = vertx;
         this.engineControl = engineControl;
         this.upstreams = upstreams;
+        this.quarantine = quarantine;
+        this.workers = workers;
         this.metrics = metrics;
         this.events = events;
     }
 
-    private record Incarnation(InstanceId instance, long startedAtMillis) {}
-
     /** Records that the connection of a generation to {@code engine} broke without a request of this entry. */
     void connectionBroke(Upstream engine, BrokenGeneration generation) {
-        Incarnation incarnation = new Incarnation(engine.instance(), engine.startedAtMillis());
+        EngineIncarnation incarnation = new EngineIncarnation(engine.instance(), engine.startedAtMillis());
         boolean isFirst = lock.with(() -> {
             List<BrokenGeneration> broken = collecting.get(incarnation);
             if (broken == null) {
@@ -65,21 +80,39 @@
             return broken.size() == 1;
         });
         if (isFirst) {
-            vertx.setTimer(COLLECTION_MILLIS, timer -> askEngine(engine, incarnation));
+            // The listing of an engine that crashes may end before it is asked, which is no announced departure.
+            boolean leaving = upstreams.isLeavingOrUnknown(engine.instance());
+            vertx.setTimer(COLLECTION_MILLIS, timer -> askEngine(engine, incarnation, leaving));
         }
     }
 
-    private void askEngine(Upstream engine, Incarnation incarnation) {
+    private void askEngine(Upstream engine, EngineIncarnation incarnation, boolean leaving) {
         engineControl.processState(engine).whenComplete((state, error) -> {
             List<BrokenGeneration> broken = lock.with(() -> collecting.remove(incarnation));
-            record(engine, broken, error == null ? state : EngineProcessState.UNKNOWN, error);
+            EngineProcessState known = error == null ? state : EngineProcessState.UNKNOWN;
+            List<BrokenGeneration> suspects = broken.stream()
+                    .filter(generation -> generation.events() < EVENTS_OF_SUCCESS)
+                    .toList();
+            record(engine, broken.size(), suspects, known, leaving);
+            if (known == EngineProcessState.ENDED && !leaving && !suspects.isEmpty()) {
+                report(incarnation, suspects);
+            }
         });
     }
 
-    private void record(Upstream engine, List<BrokenGeneration> broken, EngineProcessState state, Throwable error) {
-        boolean leaving = upstreams.isLeavingOrUnknown(engine.instance());
-        metrics.increment(
-                "relay.engine.broken." + (leaving ? "leaving" : state.name().toLowerCase(Locale.ROOT)));
+    private void report(EngineIncarnation engine, List<BrokenGeneration> suspects) {
+        List<CallTraits> traits =
+                suspects.stream().map(BrokenGeneration::traits).toList();
+        workers.executeOrRun(() -> quarantine.recordOwnCrash(engine, traits));
+    }
+
+    private void record(
+            Upstream engine,
+            int brokenCount,
+            List<BrokenGeneration> suspects,
+            EngineProcessState state,
+            boolean leaving) {
+        metrics.increment("relay.engine.broken." + state.name().toLowerCase(Locale.ROOT));
         events.record(
                 EventCode.ENGINE_BROKE,
                 Map.of(
@@ -88,18 +121,11 @@
                         "version", engine.version(),
                         "process", state,
                         "leaving", leaving,
-                        "detail",
-                                error == null
-                                        ? ""
-                                        : String.valueOf(CallFailure.from(error).getMessage()),
-                        "begun",
-                                broken.stream()
-                                        .filter(generation -> generation.events() > 0)
-                                        .count(),
+                        "begun", brokenCount - suspects.size(),
                         "not_begun",
-                                broken.stream()
-                                        .filter(generation -> generation.events() == 0)
-                                        .map(generation -> generation.callId() + generation.parts())
+                                suspects.stream()
+                                        .map(generation -> generation.callId()
+                                                + generation.traits().parts())
                                         .toList()));
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -67,6 +67,11 @@
         return lastDeliveredEventId;
     }
 
+    @Override
+    boolean hasBegun() {
+        return eventCount > 0;
+    }
+
     @Override
     long unresumableEvents() {
         return plan.route().resumable() ? 0 : eventCount;
@@ -255,6 +260,9 @@
                     handleFirstEvent();
                 }
                 eventsOfEngine++;
+                if (eventsOfEngine == CrashDetector.EVENTS_OF_SUCCESS) {
+                    recordSuccess();
+                }
                 forward(event);
             }
         }
@@ -270,8 +278,15 @@
             }
         }
 
+        /** Records that the engine generates with these prompt parts and lives. */
+        private void recordSuccess() {
+            if (!traits.parts().isEmpty()) {
+                components.workers().executeOrRun(() -> components.quarantine().recordSuccess(traits));
+            }
+        }
+
         private BrokenGeneration brokenGeneration() {
-            return new BrokenGeneration(callId(), eventsOfEngine, plan.workspace(), plan.sharedParts());
+            return new BrokenGeneration(callId(), eventsOfEngine, traits);
         }
 
         /** Fails a continuation that has not responded within the timeout. */
@@ -311,6 +326,7 @@
                 caller.write(splitter.remainder());
             }
             caller.end();
+            recordSuccess();
             long streamNanos = components.clock().nanos() - sentAtNanos;
             recordResult(target, CallResult.ok(streamNanos / Math.max(1, eventCount), 0, eventCount));
             trace.record(
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -29,6 +29,11 @@
         return plan.request().lastEventId();
     }
 
+    @Override
+    boolean hasBegun() {
+        return false;
+    }
+
     @Override
     long unresumableEvents() {
         return 0;
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -5,6 +5,7 @@
 import coriandersill.catalog.CatalogTable;
 import coriandersill.core.MonotonicClock;
 import coriandersill.events.EventLog;
+import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.CallCodec;
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.RelaySettings;
@@ -67,6 +68,7 @@
             MonotonicClock clock,
             RandomGenerator random,
             DoubleSupplier ownShare,
+            PromptQuarantine quarantine,
             EventLog events,
             MetricRegistry metrics) {}
 
@@ -84,15 +86,7 @@
         ColdCallLimiter coldCallLimiter = ColdCallLimiter.create(clock);
         GenerationTable generations = new GenerationTable();
         UpstreamSelector selector = createSelector(dependencies, engineRouter, plainRouter, coldCallLimiter);
-        LoadReader loadReader = new LoadReader(
-                vertx,
-                dependencies.engineControl(),
-                dependencies.workers(),
-                selector,
-                dependencies.upstreams(),
-                generations,
-                clock,
-                dependencies.events());
+        LoadReader loadReader = createLoadReader(dependencies, selector, generations);
         RelayMetrics metrics = new RelayMetrics(dependencies.metrics());
         RelayComponents components = new RelayComponents(
                 vertx,
@@ -102,8 +96,8 @@
                 new CallPlanner(dependencies.catalogs(), settings.maxCatalogAge(), random),
                 selector,
                 loadReader,
-                new CrashDetector(
-                        vertx, dependencies.engineControl(), dependencies.upstreams(), metrics, dependencies.events()),
+                createCrashDetector(dependencies, metrics),
+                dependencies.quarantine(),
                 dependencies.upstreams(),
                 dependencies.codec(),
                 dependencies.engineControl(),
@@ -128,11 +122,40 @@
         RelayServer callServer = new RelayServer(components);
         Gauge<Integer> openCalls = callServer::openCalls;
         dependencies.metrics().register("relay.open", openCalls);
+        Gauge<Integer> suspectParts = dependencies.quarantine()::suspectCount;
+        dependencies.metrics().register("relay.quarantine.suspect_parts", suspectParts);
+        Gauge<Integer> quarantinedParts =
+                () -> dependencies.quarantine().verdicts().size();
+        dependencies.metrics().register("relay.quarantine.parts", quarantinedParts);
         ReadinessServer readinessServer = new ReadinessServer(
                 vertx, settings, () -> dependencies.catalogs().newest().isPresent() && !callServer.stopping());
         return new RelayAssembly(callServer, readinessServer, loadReader);
     }
 
+    private static LoadReader createLoadReader(
+            Dependencies dependencies, UpstreamSelector selector, GenerationTable generations) {
+        return new LoadReader(
+                dependencies.vertx(),
+                dependencies.engineControl(),
+                dependencies.workers(),
+                selector,
+                dependencies.upstreams(),
+                generations,
+                dependencies.clock(),
+                dependencies.events());
+    }
+
+    private static CrashDetector createCrashDetector(Dependencies dependencies, RelayMetrics metrics) {
+        return new CrashDetector(
+                dependencies.vertx(),
+                dependencies.engineControl(),
+                dependencies.upstreams(),
+                dependencies.quarantine(),
+                dependencies.workers(),
+                metrics,
+                dependencies.events());
+    }
+
     private static HttpClient createClient(Vertx vertx) {
         return vertx.createHttpClient(
                 new HttpClientOptions()
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -2,6 +2,7 @@
 
 import coriandersill.core.MonotonicClock;
 import coriandersill.events.EventLog;
+import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.CallCodec;
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.RelaySettings;
@@ -21,6 +22,7 @@
         UpstreamSelector selector,
         LoadReader loadReader,
         CrashDetector crashDetector,
+        PromptQuarantine quarantine,
         UpstreamTable upstreams,
         CallCodec codec,
         EngineControl engineControl,
