--- a/quarantine/src/main/java/coriandersill/quarantine/PromptQuarantine.java
+++ b/quarantine/src/main/java/coriandersill/quarantine/PromptQuarantine.java
@@ -29,7 +29,8 @@
  * these traits are refused: a caller can then get only its own generations refused.
  *
  * <p>After {@link #INITIAL_HOLD}, doubled with each further crash, the entry that reported the last crash admits one
- * generation with the part at a time as a probe.
+ * generation with the part at a time as a probe. The others do so later, each at another time, in case that entry is
+ * gone.
  *
  * <p>Thread-safe: guarded by a lock of rank {@link LockRank#QUARANTINE}. The exchange and the observer are called
  * without it.
@@ -47,14 +48,18 @@
     /** How long a part that is not quarantined stays suspect after a crash. */
     public static final Duration SUSPICION_AGE = Duration.ofMinutes(10);
 
-    /** How long a part stays quarantined after the last crash, in case the entry that tests it is gone. */
+    /** How long a part stays quarantined after the last crash if no generation with it comes. */
     public static final Duration QUARANTINE_AGE = Duration.ofHours(1);
 
-    /** The maximum number of parts held; the one with the fewest and oldest crashes is dropped for a new one. */
+    /** The maximum number of parts held; those with the fewest and oldest crashes are dropped for new ones. */
     public static final int MAX_PARTS = 4_096;
 
+    /** How many parts are dropped at once, so that dropping them costs little for each new part. */
+    private static final int EVICTED_PARTS = 256;
+
     private static final Duration PROBE_TIMEOUT = Duration.ofMinutes(1);
     private static final int MAX_HOLD_DOUBLINGS = 5;
+    private static final int SUBSTITUTE_STEPS = 1_000;
     private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(1);
 
     private final RankedLock lock = RankedLock.of(LockRank.QUARANTINE);
@@ -114,14 +119,22 @@
 
     private QuarantineDecision decide(Suspect suspect, String call, long now) {
         Duration hold = INITIAL_HOLD.multipliedBy(1L << Math.min(suspect.count() - MIN_CRASHES, MAX_HOLD_DOUBLINGS));
-        Duration left = hold.minus(suspect.sinceLastCrash(now));
+        Duration wait = suspect.reporter().equals(self) ? hold : substituteWait(suspect, hold);
+        Duration left = wait.minus(suspect.sinceLastCrash(now));
         boolean due = left.isNegative() || left.isZero();
-        if (due && suspect.reporter().equals(self) && suspect.tryProbe(call, now, PROBE_TIMEOUT)) {
+        if (due && suspect.tryProbe(call, now, PROBE_TIMEOUT)) {
             return new QuarantineDecision.Probe(suspect.verdict());
         }
         return new QuarantineDecision.Refused(suspect.verdict(), due ? PROBE_TIMEOUT : left);
     }
 
+    /** Returns when this entry tests a part if the reporter has not; different for each entry, so that few do. */
+    private Duration substituteWait(Suspect suspect, Duration hold) {
+        int hash = Objects.hash(self, suspect.part(), suspect.count());
+        double fraction = Math.floorMod(hash, SUBSTITUTE_STEPS) / (double) SUBSTITUTE_STEPS;
+        return hold.plus(Duration.ofNanos((long) (hold.toNanos() * (1 + 2 * fraction))));
+    }
+
     /** Records that an engine's process ended at which this entry had generations; reports it to the other entries. */
     public void recordOwnCrash(EngineIncarnation engine, List<CallTraits> suspects) {
         CrashReport report = new CrashReport(engine, self, suspects);
@@ -227,17 +240,23 @@
             return known;
         }
         if (suspects.size() >= MAX_PARTS) {
-            long now = clock.nanos();
-            suspects.values().stream()
-                    .min(Comparator.comparingInt(Suspect::count)
-                            .thenComparing(suspect -> suspect.sinceLastCrash(now), Comparator.reverseOrder()))
-                    .ifPresent(weakest -> remove(weakest, QuarantineObserver.Reason.EVICTED, changes));
+            evictWeakest(changes);
         }
         Suspect added = new Suspect(part, reporter);
         suspects.put(part, added);
         return added;
     }
 
+    private void evictWeakest(Changes changes) {
+        long now = clock.nanos();
+        suspects.values().stream()
+                .sorted(Comparator.comparingInt(Suspect::count)
+                        .thenComparing(suspect -> suspect.sinceLastCrash(now), Comparator.reverseOrder()))
+                .limit(EVICTED_PARTS)
+                .toList()
+                .forEach(weakest -> remove(weakest, QuarantineObserver.Reason.EVICTED, changes));
+    }
+
     private void expire(long now, Changes changes) {
         if (now - expiredAtNanos < EXPIRY_INTERVAL.toNanos()) {
             return;
--- a/quarantine/src/main/java/coriandersill/quarantine/QuarantineVerdict.java
+++ b/quarantine/src/main/java/coriandersill/quarantine/QuarantineVerdict.java
@@ -11,7 +11,8 @@
  * @param scope the traits that the crashes have in common; only generations with all of them are refused
  * @param crashes the number of crashes since the part was last seen in a generation that succeeded
  * @param engines the engines that crashed, the most recent last; not all of them if there are many
- * @param reporter the entry that reported the most recent crash; it alone tests whether the part still crashes engines
+ * @param reporter the entry that reported the most recent crash; it is the first to test whether the part still crashes
+ *     engines
  */
 public record QuarantineVerdict(
         PromptPart part, CallTraits scope, int crashes, List<InstanceId> engines, InstanceId reporter) {
