Carry out operators' rollouts on the platform with the evidence of all entries

Callers saw: a version that answered several times slower took calls from the moment its engines were listed until they ended, and neither a bad nor a good version was ever decided. Cause: nobody read the order; the judge of the product was not reached from the platform's front end.

An order now starts an OrderedRollout at each entry. A generation that has not begun in its route's target latency counts as slow without waiting for its end. Shortly before a completion all new calls go to the target, and running generations move there, since the old engines are stopped at once.

--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -104,8 +104,6 @@
     PART_QUARANTINED(430, Level.WARNING, "prompt part quarantined"),
     /** A prompt part is no longer quarantined. */
     PART_RELEASED(431, Level.INFO, "prompt part released"),
-    /** What this entry learned of crashes could not be sent to the other entries in time. */
-    QUARANTINE_NOT_SENT(432, Level.WARNING, "crash evidence not sent"),
     /** An upstream has returned to the cold state. */
     UPSTREAM_COLD(500, Level.WARNING, "upstream is cold"),
     /** An upstream has shown that it sustains its full limit. */
@@ -133,7 +131,11 @@
     /** The platform's log is reachable again. */
     LOG_UP(801, Level.INFO, "platform log answers again"),
     /** An audit record could not be written and was dropped. */
-    AUDIT_DROPPED(802, Level.ERROR, "audit record dropped");
+    AUDIT_DROPPED(802, Level.ERROR, "audit record dropped"),
+    /** A record could not be appended to the platform's log yet and is retried. */
+    RECORD_DELAYED(803, Level.INFO, "record not appended yet"),
+    /** A record was dropped because the platform's log did not accept it in time. */
+    RECORD_NOT_SENT(804, Level.WARNING, "record not appended");
 
     private final int number;
     private final Level level;
--- a/relay/src/main/java/coriandersill/relay/Relay.java
+++ b/relay/src/main/java/coriandersill/relay/Relay.java
@@ -4,9 +4,12 @@
 import coriandersill.catalog.CatalogTable;
 import coriandersill.core.ManagedService;
 import coriandersill.core.MonotonicClock;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
 import coriandersill.events.EventLog;
 import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.internal.RelayAssembly;
+import coriandersill.rollout.OrderedRollouts;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
@@ -54,12 +57,19 @@
         return assembly.start();
     }
 
+    /** Moves running generations off the engines of a service that do not run {@code version}, within {@code time}. */
+    public void moveToVersion(ServiceName service, VersionName version, Duration time) {
+        assembly.moveToVersion(service, version, time);
+    }
+
     @Override
     public CompletableFuture<Void> stop(Duration grace) {
         return assembly.stop(grace);
     }
 
-    /** Builds a relay; all its methods must be called except {@code ownShare} and {@code observers}. */
+    /**
+     * Builds a relay; all its methods must be called except {@code ownShare}, {@code rollouts} and {@code observers}.
+     */
     public static final class Builder {
         private final Vertx vertx;
         private final RelaySettings settings;
@@ -72,6 +82,7 @@
         private RandomGenerator random;
         private DoubleSupplier ownShare = () -> 1;
         private PromptQuarantine quarantine;
+        private OrderedRollouts rollouts = OrderedRollouts.create();
         private EventLog events = EventLog.none();
         private MetricRegistry metrics = new MetricRegistry();
 
@@ -124,6 +135,12 @@
             return this;
         }
 
+        /** Sets the rollouts that split calls between versions; none by default. */
+        public Builder rollouts(OrderedRollouts value) {
+            rollouts = Objects.requireNonNull(value, "rollouts");
+            return this;
+        }
+
         /** Sets the event log and the metric registry. */
         public Builder observers(EventLog log, MetricRegistry registry) {
             events = Objects.requireNonNull(log, "log");
@@ -145,6 +162,7 @@
                     random,
                     ownShare,
                     quarantine,
+                    rollouts,
                     events,
                     metrics)));
         }
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -11,10 +11,12 @@
 import coriandersill.relay.QuarantineEvents;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
+import coriandersill.rollout.CallSample;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.RetryDecision;
 import coriandersill.routing.RetryPolicy;
+import coriandersill.upstreams.Upstream;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -244,8 +246,11 @@
      * attempt. Called immediately before the request is written.
      */
     final boolean confirmInService(UpstreamSelector.Selection target) {
-        boolean inService =
-                components.upstreams().inService(target.upstream().instance()).isPresent();
+        boolean inService = components
+                .upstreams()
+                .inService(target.upstream().instance())
+                .filter(upstream -> components.rollouts().permits(upstream.service(), upstream.version()))
+                .isPresent();
         trace.record(
                 inService ? EventCode.CALL_SENT : EventCode.CALL_HELD_BACK,
                 elapsedMillis(),
@@ -292,6 +297,7 @@
         }
         if (failure.ran() != Ran.NO) {
             possibleRunCount++;
+            recordSample(target, true, CallSample.NOT_MEASURED, CallSample.NOT_MEASURED);
         }
         AttemptFailure attempt = new AttemptFailure(
                 failure, plan.route().repeatable(), unresumableEvents(), possibleRunCount, timeLeft(), ranBefore);
@@ -359,6 +365,31 @@
         components.workers().executeOrRun(() -> components.selector().recordResult(target, result));
     }
 
+    /**
+     * Counts an attempt as evidence for a rollout of its service. Attempts at an upstream that is still warming up are
+     * left out.
+     *
+     * @param firstNanos the time to the first event or the response, or {@link CallSample#NOT_MEASURED}
+     * @param betweenNanos the mean time between events, or {@link CallSample#NOT_MEASURED}
+     */
+    final void recordSample(UpstreamSelector.Selection target, boolean failed, long firstNanos, long betweenNanos) {
+        Upstream upstream = target.upstream();
+        boolean observed = components.rollouts().isObserved(upstream.service())
+                && !components.upstreams().isCold(upstream.instance());
+        if (observed) {
+            components
+                    .rollouts()
+                    .record(new CallSample(
+                            upstream.service(),
+                            upstream.version(),
+                            plan.route().name(),
+                            upstream.zone(),
+                            failed,
+                            firstNanos,
+                            betweenNanos));
+        }
+    }
+
     /** Fails the call. */
     final void fail(CallFailure failure) {
         if (ended) {
@@ -407,6 +438,9 @@
             return;
         }
         boolean notRun = exchange == null && ranBefore == Ran.NO;
+        if (exchange != null) {
+            recordSample(selection, true, CallSample.NOT_MEASURED, CallSample.NOT_MEASURED);
+        }
         cancelExchange(ErrorKind.DEADLINE_EXCEEDED);
         fail(CallFailure.of(
                         ErrorKind.DEADLINE_EXCEEDED,
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -6,6 +6,7 @@
 import coriandersill.events.EventCode;
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
+import coriandersill.rollout.CallSample;
 import coriandersill.routing.CallResult;
 import coriandersill.upstreams.Upstream;
 import io.vertx.core.Context;
@@ -222,6 +223,8 @@
         private ResponseHead head;
         private CallFailure failure;
         private boolean firstEventReceived;
+        private boolean latencyRecorded;
+        private long firstEventAtNanos;
         private long eventsOfEngine;
 
         private StreamListener(UpstreamSelector.Selection target, KvCacheCopy copy) {
@@ -235,6 +238,11 @@
                 return false;
             }
             components.generations().add(target.upstream().instance(), GenerationCall.this);
+            if (copy == null
+                    && components.rollouts().isObserved(target.upstream().service())) {
+                long limitMillis = Math.max(1, plan.route().targetLatency().toMillis());
+                components.vertx().setTimer(limitMillis, timer -> recordIfNotBegun());
+            }
             return true;
         }
 
@@ -267,7 +275,19 @@
             }
         }
 
+        /** Counts a generation that has not begun in time, since it may take much longer, or never begin. */
+        private void recordIfNotBegun() {
+            if (!firstEventReceived && exchange != null && selection.equals(target) && !hasEnded()) {
+                latencyRecorded = true;
+                recordSample(target, false, components.clock().nanos() - sentAtNanos, CallSample.NOT_MEASURED);
+            }
+        }
+
         private void handleFirstEvent() {
+            firstEventAtNanos = components.clock().nanos();
+            if (copy == null && !latencyRecorded) {
+                recordSample(target, false, firstEventAtNanos - sentAtNanos, CallSample.NOT_MEASURED);
+            }
             components.workers().executeOrRun(() -> components.selector().recordPromptPrefilled(target, plan));
             if (copy != null && move != null) {
                 move.succeeded();
@@ -327,7 +347,12 @@
             }
             caller.end();
             recordSuccess();
-            long streamNanos = components.clock().nanos() - sentAtNanos;
+            long endedAtNanos = components.clock().nanos();
+            if (eventsOfEngine > 1) {
+                long betweenNanos = (endedAtNanos - firstEventAtNanos) / (eventsOfEngine - 1);
+                recordSample(target, false, CallSample.NOT_MEASURED, betweenNanos);
+            }
+            long streamNanos = endedAtNanos - sentAtNanos;
             recordResult(target, CallResult.ok(streamNanos / Math.max(1, eventCount), 0, eventCount));
             trace.record(
                     EventCode.CALL_ANSWERED,
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.relay.ResponseHead;
+import coriandersill.rollout.CallSample;
 import coriandersill.routing.CallResult;
 import io.vertx.core.buffer.Buffer;
 
@@ -78,6 +79,7 @@
             }
             long responseNanos = components.clock().nanos() - sentAtNanos;
             recordResult(target, CallResult.ok(responseNanos, 0, 0));
+            recordSample(target, false, responseNanos, CallSample.NOT_MEASURED);
             exchange = null;
             components.metrics().recordResponseTime(elapsedNanos());
             sendResponse(head, responseBody);
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -4,11 +4,14 @@
 import com.codahale.metrics.MetricRegistry;
 import coriandersill.catalog.CatalogTable;
 import coriandersill.core.MonotonicClock;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
 import coriandersill.events.EventLog;
 import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.CallCodec;
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.RelaySettings;
+import coriandersill.rollout.OrderedRollouts;
 import coriandersill.routing.LeastPromptBacklog;
 import coriandersill.routing.Router;
 import coriandersill.routing.RoutingPolicy;
@@ -49,11 +52,20 @@
     private final RelayServer callServer;
     private final ReadinessServer readinessServer;
     private final LoadReader loadReader;
+    private final UpstreamTable upstreams;
+    private final MovePlanner movePlanner;
 
-    private RelayAssembly(RelayServer callServer, ReadinessServer readinessServer, LoadReader loadReader) {
+    private RelayAssembly(
+            RelayServer callServer,
+            ReadinessServer readinessServer,
+            LoadReader loadReader,
+            UpstreamTable upstreams,
+            MovePlanner movePlanner) {
         this.callServer = callServer;
         this.readinessServer = readinessServer;
         this.loadReader = loadReader;
+        this.upstreams = upstreams;
+        this.movePlanner = movePlanner;
     }
 
     /** The dependencies of a relay. */
@@ -69,6 +81,7 @@
             RandomGenerator random,
             DoubleSupplier ownShare,
             PromptQuarantine quarantine,
+            OrderedRollouts rollouts,
             EventLog events,
             MetricRegistry metrics) {}
 
@@ -98,6 +111,7 @@
                 loadReader,
                 createCrashDetector(dependencies, metrics),
                 dependencies.quarantine(),
+                dependencies.rollouts(),
                 dependencies.upstreams(),
                 dependencies.codec(),
                 dependencies.engineControl(),
@@ -110,15 +124,11 @@
                 clock,
                 random,
                 dependencies.events());
+        MovePlanner movePlanner = new MovePlanner(components);
         dependencies
                 .upstreams()
                 .addListener(new DepartureListener(
-                        generations,
-                        new MovePlanner(components),
-                        engineRouter,
-                        plainRouter,
-                        coldCallLimiter,
-                        dependencies.events()));
+                        generations, movePlanner, engineRouter, plainRouter, coldCallLimiter, dependencies.events()));
         RelayServer callServer = new RelayServer(components);
         Gauge<Integer> openCalls = callServer::openCalls;
         dependencies.metrics().register("relay.open", openCalls);
@@ -129,7 +139,7 @@
         dependencies.metrics().register("relay.quarantine.parts", quarantinedParts);
         ReadinessServer readinessServer = new ReadinessServer(
                 vertx, settings, () -> dependencies.catalogs().newest().isPresent() && !callServer.stopping());
-        return new RelayAssembly(callServer, readinessServer, loadReader);
+        return new RelayAssembly(callServer, readinessServer, loadReader, dependencies.upstreams(), movePlanner);
     }
 
     private static LoadReader createLoadReader(
@@ -181,6 +191,7 @@
                 plainRouter,
                 coldCallLimiter,
                 dependencies.ownShare(),
+                dependencies.rollouts(),
                 random);
     }
 
@@ -190,6 +201,13 @@
         return readinessServer.start().thenCompose(started -> callServer.start());
     }
 
+    /** Moves running generations off the engines of a service that do not run {@code version}, within {@code time}. */
+    public void moveToVersion(ServiceName service, VersionName version, Duration time) {
+        upstreams.inService(service).stream()
+                .filter(upstream -> !upstream.version().equals(version))
+                .forEach(upstream -> movePlanner.planMoves(upstream, time));
+    }
+
     /** Lets open calls end within {@code grace}, then stops listening. */
     public CompletableFuture<Void> stop(Duration grace) {
         return callServer.stop(grace).thenCompose(drained -> readinessServer.stop(grace));
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -6,6 +6,7 @@
 import coriandersill.relay.CallCodec;
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.RelaySettings;
+import coriandersill.rollout.OrderedRollouts;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
@@ -23,6 +24,7 @@
         LoadReader loadReader,
         CrashDetector crashDetector,
         PromptQuarantine quarantine,
+        OrderedRollouts rollouts,
         UpstreamTable upstreams,
         CallCodec codec,
         EngineControl engineControl,
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamSelector.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamSelector.java
@@ -5,6 +5,8 @@
 import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
 import coriandersill.relay.RelaySettings;
+import coriandersill.rollout.OrderedRollouts;
+import coriandersill.rollout.TrafficSplit;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.Candidate;
 import coriandersill.routing.CandidateInfo;
@@ -44,6 +46,7 @@
     private final Router plainRouter;
     private final ColdCallLimiter coldCallLimiter;
     private final DoubleSupplier ownShare;
+    private final OrderedRollouts rollouts;
     private final RandomGenerator random;
 
     /** The services for which this entry has received generations. */
@@ -57,6 +60,7 @@
             Router plainRouter,
             ColdCallLimiter coldCallLimiter,
             DoubleSupplier ownShare,
+            OrderedRollouts rollouts,
             RandomGenerator random) {
         this.settings = settings;
         this.upstreams = upstreams;
@@ -65,6 +69,7 @@
         this.plainRouter = plainRouter;
         this.coldCallLimiter = coldCallLimiter;
         this.ownShare = ownShare;
+        this.rollouts = rollouts;
         this.random = random;
     }
 
@@ -89,8 +94,7 @@
 
     /** Returns a random sample of the engines that could take a generation, to refresh their load before selection. */
     List<Upstream> sampleEngines(CallPlan plan, Set<InstanceId> excluded) {
-        List<Upstream> eligible = shuffled(upstreams.inService(plan.service().name()).stream()
-                .filter(upstream -> isInAllowedRegion(plan, upstream))
+        List<Upstream> eligible = shuffled(ofPreferredVersion(plan, permitted(plan)).stream()
                 .filter(upstream -> !excluded.contains(upstream.instance()))
                 .toList());
         return eligible.subList(0, Math.min(ENGINE_SAMPLE_SIZE, eligible.size()));
@@ -101,7 +105,7 @@
      */
     List<Upstream> sampleTargets(CallPlan plan, Upstream source) {
         List<Upstream> eligible = shuffled(upstreams.inService(plan.service().name()).stream()
-                .filter(upstream -> isInAllowedRegion(plan, upstream))
+                .filter(upstream -> isInAllowedRegion(plan, upstream) && permitsMove(plan, source, upstream))
                 .filter(upstream -> !upstream.instance().equals(source.instance()))
                 .toList());
         eligible.sort(Comparator.comparing(upstream -> !upstream.zone().equals(source.zone())));
@@ -122,9 +126,44 @@
      * @param preferred engines whose load was just read; the others are considered only if none of these has room
      */
     Optional<Selection> selectUpstream(CallPlan plan, Set<InstanceId> excluded, Set<InstanceId> preferred) {
-        List<Upstream> eligible = upstreams.inService(plan.service().name()).stream()
-                .filter(upstream -> isInAllowedRegion(plan, upstream))
+        List<Upstream> permitted = permitted(plan);
+        List<Upstream> ofVersion = ofPreferredVersion(plan, permitted);
+        Optional<Selection> selection = selectAmong(ofVersion, plan, excluded, preferred);
+        boolean mayUseOthers = ofVersion.size() < permitted.size() && isForTarget(plan);
+        return selection.isEmpty() && mayUseOthers ? selectAmong(permitted, plan, excluded, preferred) : selection;
+    }
+
+    /** Returns the upstreams that may serve a call. */
+    private List<Upstream> permitted(CallPlan plan) {
+        ServiceName service = plan.service().name();
+        return upstreams.inService(service).stream()
+                .filter(upstream -> isInAllowedRegion(plan, upstream) && rollouts.permits(service, upstream.version()))
+                .toList();
+    }
+
+    /** Returns those of the version that a rollout selects for the call, or all if there is none of that version. */
+    private List<Upstream> ofPreferredVersion(CallPlan plan, List<Upstream> permitted) {
+        long hash = TrafficSplit.hashOf(plan.request().id());
+        List<Upstream> preferred = permitted.stream()
+                .filter(upstream -> rollouts.prefers(plan.service().name(), upstream.version(), hash))
                 .toList();
+        return preferred.isEmpty() ? permitted : preferred;
+    }
+
+    /** Returns whether a rollout selects its target for the call; the others must not overflow to the target. */
+    private boolean isForTarget(CallPlan plan) {
+        long hash = TrafficSplit.hashOf(plan.request().id());
+        return rollouts.of(plan.service().name())
+                .filter(rollout -> rollout.selectsTarget(hash))
+                .isPresent();
+    }
+
+    private boolean permitsMove(CallPlan plan, Upstream source, Upstream target) {
+        return rollouts.permitsMove(plan.service().name(), source.version(), target.version());
+    }
+
+    private Optional<Selection> selectAmong(
+            List<Upstream> eligible, CallPlan plan, Set<InstanceId> excluded, Set<InstanceId> preferred) {
         Set<InstanceId> skipped = new HashSet<>(excluded);
         boolean isEngine = plan.service().engine().isPresent();
         if (isEngine) {
@@ -175,7 +214,7 @@
         List<Upstream> eligible = upstreams.inService(plan.service().name()).stream()
                 .filter(upstream -> !excluded.contains(upstream.instance()))
                 .filter(upstream -> !upstream.instance().equals(source.instance()))
-                .filter(upstream -> isInAllowedRegion(plan, upstream))
+                .filter(upstream -> isInAllowedRegion(plan, upstream) && permitsMove(plan, source, upstream))
                 .toList();
         RouteRequest request = new RouteRequest(
                 plan.service().name(),
--- a/rollout/src/main/java/coriandersill/rollout/CellCounter.java
+++ b/rollout/src/main/java/coriandersill/rollout/CellCounter.java
@@ -16,6 +16,11 @@
         increment(betweenTokensCounts, sample.betweenTokensNanos());
     }
 
+    /** Adds a latency of a call that is counted already. */
+    void addBetweenTokens(long nanos) {
+        increment(betweenTokensCounts, nanos);
+    }
+
     EvidenceCell snapshot() {
         return new EvidenceCell(
                 calls, failures, LatencyHistogram.of(firstTokenCounts), LatencyHistogram.of(betweenTokensCounts));
