--- a/relay/src/main/java/coriandersill/relay/internal/CallerConnection.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallerConnection.java
@@ -29,6 +29,7 @@
     private final HttpServerResponse response;
     private final BooleanSupplier stopping;
     private final Runnable onEnd;
+    private Runnable onRelease = () -> {};
     private boolean closed;
 
     /**
@@ -48,6 +49,23 @@
         response.exceptionHandler(error -> disconnected(action));
     }
 
+    /** Returns whether the response is complete or the caller has disconnected. */
+    boolean isClosed() {
+        return closed;
+    }
+
+    /** Sets a further action that runs once when the response is complete or the caller has disconnected. */
+    void onEnd(Runnable action) {
+        onRelease = action;
+        response.closeHandler(ignored -> disconnected(() -> {}));
+        response.exceptionHandler(error -> disconnected(() -> {}));
+    }
+
+    /** Closes the connection after a response that was sent before the request was read to its end. */
+    void closeConnection() {
+        request.connection().close();
+    }
+
     private void disconnected(Runnable action) {
         if (!closed) {
             close(action);
@@ -57,6 +75,7 @@
     private void close(Runnable action) {
         closed = true;
         action.run();
+        onRelease.run();
         onEnd.run();
     }
 
--- a/relay/src/main/java/coriandersill/relay/internal/EventSplitter.java
+++ b/relay/src/main/java/coriandersill/relay/internal/EventSplitter.java
@@ -14,8 +14,17 @@
     /** The id of an event without a numeric {@code id} field. */
     static final long NO_ID = -1;
 
+    /** The maximum size of an event; far above that of the tokens of one event. */
+    static final int MAX_EVENT_BYTES = 256 << 10;
+
     private Buffer remainder = Buffer.buffer();
 
+    /** The index in {@link #remainder} up to which it was searched for the end of the event. */
+    private int scanned;
+
+    /** The index at which the last line starts that was searched. */
+    private int lineStart;
+
     /** An event; {@code bytes} includes the empty line that terminates it. */
     record Event(long id, Buffer bytes) {}
 
@@ -24,12 +33,14 @@
         Buffer bytes = remainder.length() == 0 ? more : remainder.appendBuffer(more);
         List<Event> events = new ArrayList<>();
         int start = 0;
-        for (int end = endOfEvent(bytes, start); end >= 0; end = endOfEvent(bytes, start)) {
+        for (int end = endOfEvent(bytes); end >= 0; end = endOfEvent(bytes)) {
             Buffer event = bytes.getBuffer(start, end);
             events.add(new Event(parseId(event), event));
             start = end;
         }
         remainder = start == 0 ? bytes.copy() : bytes.getBuffer(start, bytes.length());
+        scanned -= start;
+        lineStart -= start;
         return events;
     }
 
@@ -38,20 +49,23 @@
         return remainder;
     }
 
-    /**
-     * Returns the index after the empty line that ends the event starting at {@code from}, or -1 if it is incomplete.
-     */
-    private static int endOfEvent(Buffer bytes, int from) {
-        int lineStart = from;
-        for (int i = from; i < bytes.length(); i++) {
-            if (bytes.getByte(i) != '\n') {
+    /** Returns whether the incomplete event is larger than {@link #MAX_EVENT_BYTES}. */
+    boolean isEventTooLarge() {
+        return remainder.length() > MAX_EVENT_BYTES;
+    }
+
+    /** Returns the index after the empty line that ends the current event, or -1 if it is incomplete. */
+    private int endOfEvent(Buffer bytes) {
+        while (scanned < bytes.length()) {
+            int index = scanned++;
+            if (bytes.getByte(index) != '\n') {
                 continue;
             }
-            boolean empty = i == lineStart || (i == lineStart + 1 && bytes.getByte(lineStart) == '\r');
+            boolean empty = index == lineStart || (index == lineStart + 1 && bytes.getByte(lineStart) == '\r');
+            lineStart = index + 1;
             if (empty) {
-                return i + 1;
+                return index + 1;
             }
-            lineStart = i + 1;
         }
         return -1;
     }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -35,6 +35,9 @@
     /** The maximum duration of the move of a generation that started when its engine was already leaving. */
     private static final Duration LATE_MOVE_TIME_LIMIT = Duration.ofSeconds(1);
 
+    /** Error responses are short; a longer one is not forwarded. */
+    private static final int MAX_ERROR_BODY_BYTES = 64 << 10;
+
     private final Context context;
     private ResponseHead pendingHead;
     private boolean headSent;
@@ -218,7 +221,7 @@
         private final UpstreamSelector.Selection target;
         private final KvCacheCopy copy;
         private final EventSplitter splitter = new EventSplitter();
-        private final Buffer errorBody = Buffer.buffer();
+        private final BodyBuffer errorBody = new BodyBuffer(components.bodyMemory(), MAX_ERROR_BODY_BYTES);
         private final long sentAtNanos = components.clock().nanos();
         private ResponseHead head;
         private CallFailure failure;
@@ -259,7 +262,9 @@
         @Override
         public void data(Buffer bytes) {
             if (failure != null) {
-                errorBody.appendBuffer(bytes);
+                if (errorBody.append(bytes) != BodyBuffer.Outcome.ADDED) {
+                    abandon(failure);
+                }
                 return;
             }
             for (EventSplitter.Event event : splitter.feed(bytes)) {
@@ -273,6 +278,18 @@
                 }
                 forward(event);
             }
+            if (splitter.isEventTooLarge()) {
+                abandon(CallFailure.of(
+                                ErrorKind.OUTCOME_UNKNOWN,
+                                "event: expected at most " + EventSplitter.MAX_EVENT_BYTES + " bytes, found more")
+                        .withRan(Ran.UNKNOWN));
+            }
+        }
+
+        /** Closes the connection because of what the engine sent. */
+        private void abandon(CallFailure reason) {
+            exchange.cancel();
+            handleFailure(reason);
         }
 
         /** Counts a generation that has not begun in time, since it may take much longer, or never begin. */
@@ -374,16 +391,22 @@
                 move.continuationRefused(failure);
                 return;
             }
+            errorBody.release();
             boolean forwardable = !headSent && ResponseValidator.isForwardable(plan, head);
-            attemptFailed(target, failure, forwardable ? head : null, errorBody);
+            attemptFailed(target, failure, forwardable ? head : null, errorBody.bytes());
         }
 
         @Override
         public void failed(CallFailure streamFailure) {
-            exchange = null;
             if (streamFailure.kind() != ErrorKind.UNAVAILABLE) {
                 components.crashDetector().connectionBroke(target.upstream(), brokenGeneration());
             }
+            handleFailure(streamFailure);
+        }
+
+        private void handleFailure(CallFailure streamFailure) {
+            exchange = null;
+            errorBody.release();
             CallFailure cause =
                     streamFailure.kind() == ErrorKind.UNAVAILABLE ? streamFailure.withRan(Ran.NO) : streamFailure;
             if (copy != null && !firstEventReceived && move != null && cause.ran() == Ran.NO) {
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -10,6 +10,10 @@
 
 /** A call whose response is buffered and validated as a whole before any of it is sent to the caller. */
 final class PlainCall extends AbstractCall {
+    private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
+    private BodyBuffer currentBody;
+
     PlainCall(
             RelayComponents components,
             CallPlan plan,
@@ -41,16 +45,21 @@
     }
 
     @Override
-    void releaseResources() {}
+    void releaseResources() {
+        if (currentBody != null) {
+            currentBody.release();
+        }
+    }
 
     private final class WholeResponseListener implements UpstreamExchange.Listener {
         private final UpstreamSelector.Selection target;
-        private final Buffer responseBody = Buffer.buffer();
+        private final BodyBuffer responseBody = new BodyBuffer(components.bodyMemory(), MAX_RESPONSE_BYTES);
         private final long sentAtNanos = components.clock().nanos();
         private ResponseHead head;
 
         private WholeResponseListener(UpstreamSelector.Selection target) {
             this.target = target;
+            currentBody = responseBody;
         }
 
         @Override
@@ -66,15 +75,24 @@
 
         @Override
         public void data(Buffer bytes) {
-            responseBody.appendBuffer(bytes);
+            BodyBuffer.Outcome outcome = responseBody.append(bytes);
+            if (outcome != BodyBuffer.Outcome.ADDED) {
+                exchange.cancel();
+                failed(CallFailure.of(
+                                ErrorKind.OUTCOME_UNKNOWN,
+                                "response body: expected at most " + MAX_RESPONSE_BYTES + " bytes, found more than "
+                                        + responseBody.bytes().length() + " (" + outcome + ")")
+                        .withRan(Ran.UNKNOWN));
+            }
         }
 
         @Override
         public void ended() {
+            responseBody.release();
             CallFailure failure = ResponseValidator.failure(plan, head);
             if (failure != null) {
                 boolean forwardable = ResponseValidator.isForwardable(plan, head);
-                attemptFailed(target, failure, forwardable ? head : null, responseBody);
+                attemptFailed(target, failure, forwardable ? head : null, responseBody.bytes());
                 return;
             }
             long responseNanos = components.clock().nanos() - sentAtNanos;
@@ -82,11 +100,12 @@
             recordSample(target, false, responseNanos, CallSample.NOT_MEASURED);
             exchange = null;
             components.metrics().recordResponseTime(elapsedNanos());
-            sendResponse(head, responseBody);
+            sendResponse(head, responseBody.bytes());
         }
 
         @Override
         public void failed(CallFailure failure) {
+            responseBody.release();
             boolean unsent = failure.kind() == ErrorKind.UNAVAILABLE;
             attemptFailed(target, unsent ? failure.withRan(Ran.NO) : failure);
         }
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -49,6 +49,9 @@
     /** The cost of copying a generation to another zone, which occupies the link twice as long, in prompt tokens. */
     private static final int OTHER_ZONE_MOVE_COST_TOKENS = 4_000;
 
+    /** A third of the heap of an entry, beside what connections and streams need. */
+    private static final long MAX_BODY_MEMORY_BYTES = 36L << 20;
+
     private final RelayServer callServer;
     private final ReadinessServer readinessServer;
     private final LoadReader loadReader;
@@ -120,6 +123,7 @@
                         () -> settings.retryBurst() * dependencies.ownShare().getAsDouble(),
                         random),
                 generations,
+                new BodyMemory(MAX_BODY_MEMORY_BYTES),
                 metrics,
                 clock,
                 random,
@@ -132,6 +136,8 @@
         RelayServer callServer = new RelayServer(components);
         Gauge<Integer> openCalls = callServer::openCalls;
         dependencies.metrics().register("relay.open", openCalls);
+        Gauge<Long> bodyBytes = components.bodyMemory()::usedBytes;
+        dependencies.metrics().register("relay.body_bytes", bodyBytes);
         Gauge<Integer> suspectParts = dependencies.quarantine()::suspectCount;
         dependencies.metrics().register("relay.quarantine.suspect_parts", suspectParts);
         Gauge<Integer> quarantinedParts =
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -30,6 +30,7 @@
         EngineControl engineControl,
         RetryPolicies retryPolicies,
         GenerationTable generations,
+        BodyMemory bodyMemory,
         RelayMetrics metrics,
         MonotonicClock clock,
         RandomGenerator random,
--- a/relay/src/main/java/coriandersill/relay/internal/RelayServer.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayServer.java
@@ -112,23 +112,25 @@
             rejectCall(caller, "unknown", malformed);
             return;
         }
-        Buffer body = Buffer.buffer();
         long maxBytes = components.planner().maxBodyBytes();
+        BodyBuffer body = new BodyBuffer(components.bodyMemory(), maxBytes);
+        caller.onEnd(body::release);
         request.handler(bytes -> {
-            if (body.length() <= maxBytes) {
-                body.appendBuffer(bytes);
-            }
-        });
-        request.endHandler(end -> {
-            if (body.length() > maxBytes) {
-                rejectCall(
-                        caller,
-                        decoded.id(),
-                        CallFailure.of(ErrorKind.INVALID_REQUEST, "body: expected at most " + maxBytes + " bytes"));
-            } else {
-                planCall(decoded, body, caller, arrivedAtNanos);
+            BodyBuffer.Outcome outcome = body.append(bytes);
+            if (outcome != BodyBuffer.Outcome.ADDED) {
+                request.handler(ignored -> {});
+                request.endHandler(ignored -> {});
+                rejectCall(caller, decoded.id(), bodyFailure(outcome, maxBytes));
+                caller.closeConnection();
             }
         });
+        request.endHandler(end -> planCall(decoded, body.bytes(), caller, arrivedAtNanos));
+    }
+
+    private static CallFailure bodyFailure(BodyBuffer.Outcome outcome, long maxBytes) {
+        return outcome == BodyBuffer.Outcome.TOO_LARGE
+                ? CallFailure.of(ErrorKind.INVALID_REQUEST, "body: expected at most " + maxBytes + " bytes, found more")
+                : CallFailure.of(ErrorKind.OVERLOADED, "body: no memory for the bodies of further calls");
     }
 
     private void planCall(CallRequest request, Buffer body, CallerConnection caller, long arrivedAtNanos) {
@@ -146,6 +148,9 @@
     }
 
     private void startCall(CallPlan plan, Buffer body, CallerConnection caller, long arrivedAtNanos) {
+        if (caller.isClosed()) {
+            return;
+        }
         if (stopping && !canEndBeforeStop(plan)) {
             rejectCall(
                     caller,
