Protect the product's own entry and sidecar from prompts that crash upstreams

The entry on the platform refuses prompts that crash engines; the product's own front end handed them on as before. The sidecar now asks, when its upstream breaks off before the second token, whether it still listens, and says so (UPSTREAM_ENDED); the entry reports it to the same PromptQuarantine, with the messages of a chat, or the blocks of a text, as the parts. Entries exchange reports and verdicts as they do rollouts' evidence. An error body without end is cut off by the sidecar after 4 KiB.

--- a/core/src/main/java/coriandersill/core/ErrorKind.java
+++ b/core/src/main/java/coriandersill/core/ErrorKind.java
@@ -46,6 +46,8 @@
     OUTCOME_UNKNOWN(Ran.UNKNOWN),
     /** The upstream returned an error. */
     UPSTREAM_ERROR(Ran.YES),
+    /** The upstream's process ended before the call had produced anything, and may have ended because of it. */
+    UPSTREAM_ENDED(Ran.YES),
     /** The generation was interrupted after some of its tokens were delivered. */
     GENERATION_INTERRUPTED(Ran.YES),
     /** The caller disconnected before the call completed. */
--- a/daemon/src/main/java/coriandersill/daemon/internal/EntryAssembly.java
+++ b/daemon/src/main/java/coriandersill/daemon/internal/EntryAssembly.java
@@ -21,7 +21,12 @@
 import coriandersill.entry.AttemptObserver;
 import coriandersill.entry.Entry;
 import coriandersill.entry.EntrySettings;
+import coriandersill.events.EventCode;
 import coriandersill.idempotency.log.ClaimService;
+import coriandersill.quarantine.PromptPart;
+import coriandersill.quarantine.PromptQuarantine;
+import coriandersill.quarantine.QuarantineObserver;
+import coriandersill.quarantine.QuarantineVerdict;
 import coriandersill.quota.LocalQuota;
 import coriandersill.quota.QuotaAmount;
 import coriandersill.rollout.CallSample;
@@ -68,6 +73,8 @@
     private final LeaseCampaigns leases;
     private final AuditTrail audit;
     private final LocalQuota quota = LocalQuota.create(MonotonicClock.system());
+    private final QuarantineMessages quarantineMessages;
+    private final PromptQuarantine quarantine;
     private final Entry entry;
     private final InstanceRegistration registration;
     private final Set<RolloutId> declaredRollouts = new HashSet<>();
@@ -105,6 +112,9 @@
                 .zones(this::zones)
                 .listener(this::rolloutChanged)
                 .build();
+        this.quarantineMessages = new QuarantineMessages(this::sendToEntries);
+        this.quarantine = PromptQuarantine.create(
+                MonotonicClock.system(), settings.instance(), quarantineMessages, new QuarantineLog());
         this.entry = createEntry();
         this.registration = new InstanceRegistration(
                 resources.vertx(), resources.platform().registry(), this::listedInstance, resources.events());
@@ -122,7 +132,7 @@
                 role.firstTokenDeadline(),
                 role.maxAttempts());
         PeerConfigurationExchange peerExchange = new PeerConfigurationExchange(
-                configuration, resources.workers(), resources.events(), this::acceptRolloutMessage);
+                configuration, resources.workers(), resources.events(), this::acceptPeerMessage);
         return Entry.builder(entrySettings, resources.vertx(), resources.wireEventLoops(), resources.workers())
                 .configuration(configuration::current)
                 .configurationPosition(() -> configuration.digest().position())
@@ -132,6 +142,7 @@
                 .idempotencyClaims(new LogIdempotencyClaims(
                         claims, role.firstTokenDeadline().plus(CLAIM_EXPIRY_MARGIN)))
                 .quota(quota)
+                .quarantine(quarantine)
                 .observer(this::recordCallSample)
                 .random(resources.random())
                 .events(resources.events())
@@ -147,8 +158,16 @@
         }
     }
 
-    private void acceptRolloutMessage(byte[] data) {
-        rollouts.accept(data);
+    private void acceptPeerMessage(byte[] data) {
+        if (!QuarantineMessages.apply(data, quarantine)) {
+            rollouts.accept(data);
+        }
+    }
+
+    private void sendToEntries(byte[] message) {
+        entry.entries().stream()
+                .filter(other -> !other.equals(settings.instance()))
+                .forEach(other -> entry.sendTo(other, new Message.Evidence(message)));
     }
 
     private void recordCallSample(AttemptObserver.ObservedAttempt attempt) {
@@ -264,6 +283,8 @@
                     && configuration.current().rollout(service.name()).isPresent();
             leases.setCampaigning(RolloutService.leaseName(service.name()), shouldCampaign);
         });
+        // Entries that start later learn the verdicts by this.
+        quarantine.verdicts().forEach(quarantineMessages::publish);
         rollouts.verdictMessage().ifPresent(data -> entry.broadcast(new Message.Verdict(data)));
     }
 
@@ -351,6 +372,28 @@
         }
     }
 
+    /** Writes the changes of the quarantine to the event log. */
+    private final class QuarantineLog implements QuarantineObserver {
+        @Override
+        public void quarantined(QuarantineVerdict verdict) {
+            resources
+                    .events()
+                    .record(
+                            EventCode.PART_QUARANTINED,
+                            Map.of(
+                                    "part", verdict.part(),
+                                    "scope", verdict.scope(),
+                                    "crashes", verdict.crashes(),
+                                    "engines", verdict.engines(),
+                                    "reporter", verdict.reporter()));
+        }
+
+        @Override
+        public void released(PromptPart part, Reason reason) {
+            resources.events().record(EventCode.PART_RELEASED, Map.of("part", part, "reason", reason));
+        }
+    }
+
     /** Sends rollout messages to the other entries over the wire protocol. */
     private final class WireRolloutPeers implements RolloutPeers {
         @Override
--- a/entry/src/main/java/coriandersill/entry/Entry.java
+++ b/entry/src/main/java/coriandersill/entry/Entry.java
@@ -14,6 +14,9 @@
 import coriandersill.membership.MembershipSettings;
 import coriandersill.membership.MembershipTable;
 import coriandersill.membership.RegionResolver;
+import coriandersill.quarantine.PromptQuarantine;
+import coriandersill.quarantine.QuarantineExchange;
+import coriandersill.quarantine.QuarantineObserver;
 import coriandersill.quota.LocalQuota;
 import coriandersill.quota.WorkspaceQuota;
 import coriandersill.routing.BudgetedRetry;
@@ -64,6 +67,7 @@
                 builder.versionSelector,
                 builder.retryPolicy(),
                 builder.quota,
+                builder.quarantine(),
                 builder.observer,
                 builder.clock,
                 builder.random,
@@ -161,6 +165,7 @@
         private ConnectionPlanSettings connectionPlan = ConnectionPlanSettings.standard();
         private Optional<RoutingPolicy> routingPolicy = Optional.empty();
         private WorkspaceQuota quota = LocalQuota.create(MonotonicClock.system());
+        private Optional<PromptQuarantine> quarantine = Optional.empty();
         private AttemptObserver observer = AttemptObserver.none();
         private IdempotencyClaims idempotencyClaims = IdempotencyClaims.unavailable();
         private MonotonicClock clock = MonotonicClock.system();
@@ -227,6 +232,17 @@
             return this;
         }
 
+        /** Sets the quarantine of prompt parts that crash upstreams; by default the entry learns from its own calls. */
+        public Builder quarantine(PromptQuarantine value) {
+            quarantine = Optional.of(value);
+            return this;
+        }
+
+        private PromptQuarantine quarantine() {
+            return quarantine.orElseGet(() -> PromptQuarantine.create(
+                    clock, settings.wire().self().instance(), QuarantineExchange.none(), QuarantineObserver.none()));
+        }
+
         /** Sets the observer of attempts. */
         public Builder observer(AttemptObserver value) {
             observer = Objects.requireNonNull(value, "observer");
--- a/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
@@ -7,6 +7,9 @@
 import coriandersill.core.Ran;
 import coriandersill.entry.AttemptObserver;
 import coriandersill.events.EventCode;
+import coriandersill.quarantine.EngineIncarnation;
+import coriandersill.quarantine.QuarantineDecision;
+import coriandersill.quarantine.QuarantineVerdict;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.RetryDecision;
@@ -33,6 +36,9 @@
     /** The number of tokens that a sidecar may send before more credit is granted. */
     private static final int CREDIT_WINDOW_TOKENS = 256;
 
+    /** The number of tokens after which an upstream has proven to serve a prompt. */
+    private static final int TOKENS_OF_SUCCESS = 2;
+
     /** Credit is granted again once at least this many tokens have been delivered. */
     private static final int MIN_CREDIT_GRANT_TOKENS = 64;
 
@@ -116,7 +122,7 @@
     }
 
     private void startAttempt() {
-        if (ended) {
+        if (ended || isRefusedByQuarantine()) {
             return;
         }
         attemptNumber++;
@@ -143,6 +149,31 @@
                 }));
     }
 
+    /** Fails the call if a part of its prompt is quarantined; returns whether it did. */
+    private boolean isRefusedByQuarantine() {
+        QuarantineDecision decision = entry.quarantine().check(plan.id().toString(), plan.traits());
+        if (!(decision instanceof QuarantineDecision.Refused refused)) {
+            return false;
+        }
+        QuarantineVerdict verdict = refused.verdict();
+        entry.events()
+                .record(
+                        EventCode.CALL_QUARANTINED,
+                        Map.of(
+                                "call", plan.id(),
+                                "part", verdict.part(),
+                                "scope", verdict.scope(),
+                                "crashes", verdict.crashes(),
+                                "engines", verdict.engines(),
+                                "reporter", verdict.reporter()));
+        fail(CallFailure.of(
+                        ErrorKind.QUARANTINED,
+                        "a part of the prompt was in generations at " + verdict.crashes()
+                                + " consecutive crashes of upstreams")
+                .withRetryAfter(refused.retryAfter()));
+        return true;
+    }
+
     private void dispatch(SelectedSidecar found) {
         if (ended) {
             directory.finished(found.instance(), routeRequest, CallResult.failed(ErrorKind.CANCELLED));
@@ -241,7 +272,11 @@
         if (nextIndex == 0) {
             firstTokenAtNanos = lastTokenAtNanos;
         }
+        boolean wasProven = nextIndex >= TOKENS_OF_SUCCESS;
         nextIndex += payloads.size();
+        if (!wasProven && nextIndex >= TOKENS_OF_SUCCESS) {
+            entry.workers().executeOrRun(() -> entry.quarantine().recordSuccess(plan.traits()));
+        }
         sink.onTokens(payloads);
         tokensToCredit += payloads.size();
         grantCredit();
@@ -272,6 +307,9 @@
         CallFailure failure = CallFailure.of(failed.kind(), failed.text())
                 .withRan(failed.ran())
                 .withRetryAfter(failed.retryAfter());
+        if (failed.kind() == ErrorKind.UPSTREAM_ENDED && nextIndex < TOKENS_OF_SUCCESS) {
+            selection.ifPresent(this::recordCrash);
+        }
         if (plan.upstreamRequest().generation() && nextIndex > 0) {
             fail(interrupted(failed.text()));
         } else {
@@ -279,6 +317,13 @@
         }
     }
 
+    /** Reports that the upstream ended; its starts have no identifier, so the time tells its processes apart. */
+    private void recordCrash(SelectedSidecar found) {
+        long seconds = Duration.ofNanos(entry.clock().nanos()).toSeconds();
+        EngineIncarnation upstream = new EngineIncarnation(found.instance(), seconds);
+        entry.workers().executeOrRun(() -> entry.quarantine().recordOwnCrash(upstream, List.of(plan.traits())));
+    }
+
     private CallFailure interrupted(String text) {
         return CallFailure.of(ErrorKind.GENERATION_INTERRUPTED, text + "; " + nextIndex + " tokens were delivered");
     }
--- a/entry/src/main/java/coriandersill/entry/internal/CallPlan.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallPlan.java
@@ -4,6 +4,7 @@
 import coriandersill.configuration.WorkspaceDocument;
 import coriandersill.core.CallId;
 import coriandersill.core.RouteName;
+import coriandersill.quarantine.CallTraits;
 import coriandersill.wire.Message;
 
 /**
@@ -19,6 +20,7 @@
  *     selection and cache affinity
  * @param promptTokens the estimated length of the prompt in tokens
  * @param maxTokens the maximum number of tokens to generate
+ * @param traits what the call has in common with others: its workspace and the shared parts of its prompt
  * @param deadlineNanos the deadline of the first token or the response, by the entry's monotonic clock
  */
 record CallPlan(
@@ -31,6 +33,7 @@
         long affinityHash,
         int promptTokens,
         int maxTokens,
+        CallTraits traits,
         long deadlineNanos) {
     private static final int MAX_PREDICTED_OUTPUT_TOKENS = 512;
 
--- a/entry/src/main/java/coriandersill/entry/internal/CompletionRequest.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CompletionRequest.java
@@ -6,7 +6,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
+import coriandersill.quarantine.PromptPart;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * A request to the completions or the chat completions API.
@@ -15,12 +18,19 @@
  * @param stream whether the caller asks for server-sent events
  * @param maxTokens the maximum number of tokens to generate
  * @param prompt the text of the prompt, or of the messages in order
+ * @param sharedParts the parts of the prompt that other prompts may share
  * @param session the session that the caller names in {@code user}, or an empty string
  * @param upstreamBody the request body for the upstream, always with {@code stream} set to true
  */
 @SuppressWarnings("ArrayRecordComponent")
 record CompletionRequest(
-        String model, boolean stream, int maxTokens, String prompt, String session, byte[] upstreamBody) {
+        String model,
+        boolean stream,
+        int maxTokens,
+        String prompt,
+        List<PromptPart> sharedParts,
+        String session,
+        byte[] upstreamBody) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int DEFAULT_MAX_TOKENS = 4_096;
 
@@ -55,10 +65,18 @@
             throw invalid("n", "1", object.path("n").toString());
         }
         int maxTokens = maxTokens(object);
-        String prompt = chat ? messagesText(object) : promptText(object);
+        List<String> messages = chat ? messageTexts(object) : List.of(promptText(object));
+        String prompt = chat ? String.join("\n", messages) + "\n" : messages.get(0);
+        List<PromptPart> sharedParts = chat ? PromptParts.ofMessages(messages) : PromptParts.ofText(prompt);
         object.put("stream", true);
         return new CompletionRequest(
-                model.asText(), stream, maxTokens, prompt, object.path("user").asText(""), toBytes(object));
+                model.asText(),
+                stream,
+                maxTokens,
+                prompt,
+                sharedParts,
+                object.path("user").asText(""),
+                toBytes(object));
     }
 
     /** Returns the estimated length of the prompt in tokens, 1 or more. */
@@ -105,12 +123,12 @@
         return prompt.asText();
     }
 
-    private static String messagesText(ObjectNode object) {
+    private static List<String> messageTexts(ObjectNode object) {
         JsonNode messages = object.path("messages");
         if (!messages.isArray() || messages.isEmpty()) {
             throw invalid("messages", "an array of one message or more", messages.toString());
         }
-        StringBuilder text = new StringBuilder();
+        List<String> texts = new ArrayList<>();
         for (int i = 0; i < messages.size(); i++) {
             JsonNode message = messages.get(i);
             if (!message.path("role").isTextual()) {
@@ -120,10 +138,9 @@
                         message.path("role").toString());
             }
             JsonNode content = message.path("content");
-            text.append(content.isTextual() ? content.asText() : content.toString())
-                    .append('\n');
+            texts.add(content.isTextual() ? content.asText() : content.toString());
         }
-        return text.toString();
+        return texts;
     }
 
     private static byte[] toBytes(ObjectNode object) {
--- a/entry/src/main/java/coriandersill/entry/internal/CompletionsHandler.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CompletionsHandler.java
@@ -5,6 +5,7 @@
 import coriandersill.configuration.WorkspaceDocument;
 import coriandersill.core.CallFailure;
 import coriandersill.core.RouteName;
+import coriandersill.quarantine.CallTraits;
 import coriandersill.wire.Message;
 import io.vertx.core.Context;
 import io.vertx.core.http.HttpServerRequest;
@@ -63,6 +64,7 @@
                 affinityHash(workspace, request),
                 request.promptTokens(),
                 request.maxTokens(),
+                CallTraits.of(Optional.of(workspace.name()), request.sharedParts()),
                 calls.deadlineNanos());
         calls.acquireQuota(plan);
         return new PlannedCompletion(plan, request, chat);
--- a/entry/src/main/java/coriandersill/entry/internal/EntryContext.java
+++ b/entry/src/main/java/coriandersill/entry/internal/EntryContext.java
@@ -7,6 +7,7 @@
 import coriandersill.entry.EntrySettings;
 import coriandersill.entry.VersionSelector;
 import coriandersill.events.EventLog;
+import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.quota.WorkspaceQuota;
 import coriandersill.routing.RetryPolicy;
 import coriandersill.workers.WorkerPool;
@@ -26,6 +27,7 @@
  * @param versionSelector selects the version that serves a call
  * @param retryPolicy decides whether a failed attempt is retried
  * @param quota limits the calls and tokens of each workspace
+ * @param quarantine refuses generations whose prompts crash upstreams
  * @param observer observes the results of attempts
  * @param clock measures deadlines and latencies
  * @param random generates call ids and delays
@@ -41,6 +43,7 @@
         VersionSelector versionSelector,
         RetryPolicy retryPolicy,
         WorkspaceQuota quota,
+        PromptQuarantine quarantine,
         AttemptObserver observer,
         MonotonicClock clock,
         RandomGenerator random,
--- a/entry/src/main/java/coriandersill/entry/internal/ErrorMapping.java
+++ b/entry/src/main/java/coriandersill/entry/internal/ErrorMapping.java
@@ -30,6 +30,7 @@
         STATUS.put(ErrorKind.IN_PROGRESS, 409);
         STATUS.put(ErrorKind.OUTCOME_UNKNOWN, 502);
         STATUS.put(ErrorKind.UPSTREAM_ERROR, 502);
+        STATUS.put(ErrorKind.UPSTREAM_ENDED, 502);
         STATUS.put(ErrorKind.GENERATION_INTERRUPTED, 502);
         STATUS.put(ErrorKind.CANCELLED, 499);
         STATUS.put(ErrorKind.CONFLICT, 409);
--- a/entry/src/main/java/coriandersill/entry/internal/PlainHandler.java
+++ b/entry/src/main/java/coriandersill/entry/internal/PlainHandler.java
@@ -8,6 +8,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.entry.IdempotencyClaims;
+import coriandersill.quarantine.CallTraits;
 import coriandersill.wire.Message;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
@@ -120,6 +121,7 @@
                 Hashes.sha256Prefix(workspace.name().value().getBytes(StandardCharsets.UTF_8)),
                 0,
                 0,
+                CallTraits.of(Optional.of(workspace.name()), List.of()),
                 calls.deadlineNanos());
         calls.acquireQuota(plan);
         return plan;
--- a/quarantine/src/main/java/coriandersill/quarantine/QuarantineObserver.java
+++ b/quarantine/src/main/java/coriandersill/quarantine/QuarantineObserver.java
@@ -9,6 +9,17 @@
     /** Called when a part that was quarantined is no longer. */
     void released(PromptPart part, Reason reason);
 
+    /** Returns an observer that does nothing. */
+    static QuarantineObserver none() {
+        return new QuarantineObserver() {
+            @Override
+            public void quarantined(QuarantineVerdict verdict) {}
+
+            @Override
+            public void released(PromptPart part, Reason reason) {}
+        };
+    }
+
     /** Why a part was released. */
     enum Reason {
         /** A generation with the part succeeded. */
--- a/routing/src/main/java/coriandersill/routing/BudgetedRetry.java
+++ b/routing/src/main/java/coriandersill/routing/BudgetedRetry.java
@@ -20,6 +20,7 @@
             ErrorKind.UNAVAILABLE,
             ErrorKind.DRAINING,
             ErrorKind.UPSTREAM_ERROR,
+            ErrorKind.UPSTREAM_ENDED,
             ErrorKind.OUTCOME_UNKNOWN,
             ErrorKind.INTERNAL);
 
--- a/routing/src/main/java/coriandersill/routing/CallResult.java
+++ b/routing/src/main/java/coriandersill/routing/CallResult.java
@@ -45,7 +45,8 @@
 
     private static Kind kindOf(ErrorKind error) {
         return switch (error) {
-            case UPSTREAM_ERROR, GENERATION_INTERRUPTED, OUTCOME_UNKNOWN, UNAVAILABLE, INTERNAL -> Kind.FAILED;
+            case UPSTREAM_ERROR, UPSTREAM_ENDED, GENERATION_INTERRUPTED, OUTCOME_UNKNOWN, UNAVAILABLE, INTERNAL -> Kind
+                    .FAILED;
             case CANCELLED -> Kind.CANCELLED;
             default -> Kind.REFUSED;
         };
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
@@ -29,6 +29,10 @@
     private static final byte[] DONE = "[DONE]".getBytes(StandardCharsets.US_ASCII);
     private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final int MAX_ERROR_TEXT_BYTES = 4 << 10;
+
+    /** The number of tokens after which the upstream has proven to serve the prompt. */
+    private static final int TOKENS_OF_SUCCESS = 2;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_BAD_REQUEST = 400;
     private static final int STATUS_REQUEST_TIMEOUT = 408;
@@ -39,6 +43,7 @@
     private final CallDispatcher dispatcher;
     private final SidecarContext sidecar;
     private final OpenCall call;
+    private final UpstreamClient upstreamClient;
     private final Context context;
     private final long startedNanos;
     private final ArrayDeque<byte[]> unacknowledgedPayloads = new ArrayDeque<>();
@@ -52,10 +57,12 @@
     private HttpClientRequest request;
     private RecordParser eventParser;
 
-    private GenerationCall(CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call) {
+    private GenerationCall(
+            CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call, UpstreamClient upstreamClient) {
         this.dispatcher = dispatcher;
         this.sidecar = sidecar;
         this.call = call;
+        this.upstreamClient = upstreamClient;
         this.context = sidecar.vertx().getOrCreateContext();
         this.credit = call.dispatch().credit();
         this.startedNanos = sidecar.clock().nanos();
@@ -63,12 +70,12 @@
 
     static GenerationCall start(
             CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call, UpstreamClient upstreamClient) {
-        GenerationCall generation = new GenerationCall(dispatcher, sidecar, call);
-        generation.context.runOnContext(ignored -> generation.openRequest(upstreamClient));
+        GenerationCall generation = new GenerationCall(dispatcher, sidecar, call, upstreamClient);
+        generation.context.runOnContext(ignored -> generation.openRequest());
         return generation;
     }
 
-    private void openRequest(UpstreamClient upstreamClient) {
+    private void openRequest() {
         upstreamClient.open(call.dispatch()).onComplete(opened -> {
             if (opened.failed()) {
                 end(
@@ -214,7 +221,21 @@
         if (ended) {
             return;
         }
-        ErrorKind kind = sentTokens == 0 ? ErrorKind.UPSTREAM_ERROR : ErrorKind.GENERATION_INTERRUPTED;
+        if (request != null) {
+            request.reset();
+        }
+        if (bodySent && sentTokens < TOKENS_OF_SUCCESS) {
+            upstreamClient.listens().onSuccess(listens -> endInterrupted(cause, !listens));
+        } else {
+            endInterrupted(cause, false);
+        }
+    }
+
+    private void endInterrupted(Throwable cause, boolean upstreamEnded) {
+        ErrorKind kind = upstreamEnded ? ErrorKind.UPSTREAM_ENDED : ErrorKind.UPSTREAM_ERROR;
+        if (sentTokens > 0) {
+            kind = ErrorKind.GENERATION_INTERRUPTED;
+        }
         Ran ran = bodySent ? Ran.YES : Ran.NO;
         end(failure(kind, ran, "upstream broke off after " + sentTokens + " tokens: " + cause.getMessage()), false);
     }
@@ -223,9 +244,18 @@
         int status = response.statusCode();
         boolean notRun =
                 status == STATUS_SERVICE_UNAVAILABLE || (status >= STATUS_BAD_REQUEST && status < STATUS_SERVER_ERROR);
-        response.body().onComplete(body -> {
-            String text = body.succeeded() ? errorText(body.result()) : "";
-            end(failure(errorKind(status), notRun ? Ran.NO : Ran.YES, "status " + status + ": " + text), false);
+        Buffer text = Buffer.buffer();
+        Runnable endCall = () -> end(
+                failure(errorKind(status), notRun ? Ran.NO : Ran.YES, "status " + status + ": " + errorText(text)),
+                false);
+        response.exceptionHandler(error -> endCall.run());
+        response.endHandler(ended -> endCall.run());
+        response.handler(bytes -> {
+            text.appendBuffer(bytes);
+            if (text.length() > MAX_ERROR_TEXT_BYTES) {
+                request.reset();
+                endCall.run();
+            }
         });
     }
 
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
@@ -3,6 +3,7 @@
 import coriandersill.core.ManagedService;
 import coriandersill.sidecar.SidecarSettings;
 import coriandersill.wire.Message;
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -12,6 +13,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -51,6 +53,18 @@
         return client.request(options).map(request -> withHeaders(request, dispatch));
     }
 
+    /** Returns whether anything listens on the upstream's address; true if that is not known. */
+    Future<Boolean> listens() {
+        RequestOptions options =
+                new RequestOptions().setHost(settings.upstreamHost()).setPort(settings.upstreamPort());
+        return client.request(options)
+                .map(request -> {
+                    request.reset();
+                    return true;
+                })
+                .otherwise(error -> !(error instanceof ConnectException) || error instanceof ConnectTimeoutException);
+    }
+
     /** Sends the body and ends the request. */
     static void send(HttpClientRequest request, Message.Dispatch dispatch) {
         request.end(Buffer.buffer(dispatch.request().body()));
