Treat an unframed stream that ends inside an event, or with its engine, as broken off

Callers saw a complete answer where the engine had crashed: a response with neither a length nor chunks ends with its connection, and any end counted as the end of the stream. An end inside an event, or without one, is a break now; at any other end the engine is asked whether its process still runs.

--- a/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
@@ -166,11 +166,13 @@
                                 "crashes", verdict.crashes(),
                                 "engines", verdict.engines(),
                                 "reporter", verdict.reporter()));
-        fail(CallFailure.of(
+        CallFailure quarantined = CallFailure.of(
                         ErrorKind.QUARANTINED,
                         "a part of the prompt was in generations at " + verdict.crashes()
                                 + " consecutive crashes of upstreams")
-                .withRetryAfter(refused.retryAfter()));
+                .withRetryAfter(refused.retryAfter());
+        // A call that has run is not reported as one that was refused.
+        fail(attemptNumber == 0 ? quarantined : lastFailure);
         return true;
     }
 
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.events.EventCode;
+import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
 import coriandersill.rollout.CallSample;
@@ -344,11 +345,39 @@
                 // response is complete if the move then fails.
                 exchange = null;
                 onMoveFailed = this::complete;
+            } else if (!head.framed()) {
+                endUnframed();
             } else {
                 complete();
             }
         }
 
+        /**
+         * Ends a stream without framing. One that ends inside an event, or because its engine's process ended, was
+         * broken off.
+         */
+        private void endUnframed() {
+            if (splitter.remainder().length() > 0 || eventsOfEngine == 0) {
+                failed(brokenOff());
+                return;
+            }
+            components
+                    .engineControl()
+                    .processState(target.upstream())
+                    .whenComplete((state, error) -> runOnContext(() -> {
+                        if (state == EngineProcessState.ENDED) {
+                            failed(brokenOff());
+                        } else {
+                            complete();
+                        }
+                    }));
+        }
+
+        private CallFailure brokenOff() {
+            return CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the stream ended inside an event or with its engine")
+                    .withRan(Ran.UNKNOWN);
+        }
+
         private void complete() {
             exchange = null;
             if (eventCount == 0 && splitter.remainder().length() == 0) {
--- a/standins/src/main/java/coriandersill/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/coriandersill/standins/engine/EngineStandIn.java
@@ -14,6 +14,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A stand-in for a model engine with the completions API that generates {@code w0 w1 w2 ...} with continuous batching.
@@ -31,6 +32,9 @@
     /** Multiples of the golden ratio modulo 1 spread the failing requests evenly over the request numbers. */
     private static final double GOLDEN_RATIO_FRACTION = 0.618_033_988_75;
 
+    /** The time between a crash and the next start. */
+    private static final long RESTART_MILLIS = 400;
+
     private static final Buffer DONE = Buffer.buffer("data: [DONE]\n\n");
 
     private final Vertx vertx;
@@ -39,6 +43,8 @@
     private final EngineSettings settings;
     private final ExecutionCounters counters = new ExecutionCounters();
     private final Set<Generation> running = new LinkedHashSet<>();
+    private final AtomicInteger crashes = new AtomicInteger();
+    private volatile String crashText;
     private HttpServer server;
     private long stepTimer = -1;
     private long requestCount;
@@ -65,9 +71,23 @@
         return counters;
     }
 
+    /** Makes the engine end when it is about to begin a generation whose request contains {@code text}. */
+    public void crashOn(String text) {
+        crashText = text;
+    }
+
+    /** Returns how often the engine has ended by such a request. */
+    public int crashes() {
+        return crashes.get();
+    }
+
     @Override
     public CompletableFuture<Void> start() {
-        server = vertx.createHttpServer(new HttpServerOptions().setHost(host).setPort(requestedPort))
+        return listen(requestedPort);
+    }
+
+    private CompletableFuture<Void> listen(int port) {
+        server = vertx.createHttpServer(new HttpServerOptions().setHost(host).setPort(port))
                 .requestHandler(this::handle);
         stepTimer = vertx.setPeriodic(settings.stepInterval().toMillis(), step -> step());
         return server.listen().<Void>mapEmpty().toCompletionStage().toCompletableFuture();
@@ -84,7 +104,23 @@
             request.response().end(counters.toJson().toBuffer());
             return;
         }
-        request.body().onSuccess(body -> startGeneration(request, body.toJsonObject()));
+        request.body().onSuccess(body -> {
+            String deadly = crashText;
+            if (deadly != null && body.toString().contains(deadly)) {
+                crash();
+            } else {
+                startGeneration(request, body.toJsonObject());
+            }
+        });
+    }
+
+    /** Closes the listener and all connections, as the end of a process does, and starts again later. */
+    private void crash() {
+        crashes.incrementAndGet();
+        int port = server.actualPort();
+        vertx.cancelTimer(stepTimer);
+        server.close();
+        vertx.setTimer(RESTART_MILLIS, timer -> listen(port));
     }
 
     private synchronized void startGeneration(HttpServerRequest request, JsonObject body) {
