Ask whether the upstream runs at the end of an unframed plain response

A crash that ends a plain response without a length looked like its end. The samples for rollouts move to a class of their own (AttemptSamples).

--- a/quarantine/src/main/java/coriandersill/quarantine/CallTraits.java
+++ b/quarantine/src/main/java/coriandersill/quarantine/CallTraits.java
@@ -32,6 +32,11 @@
         return sameWorkspace && parts.containsAll(scope.parts);
     }
 
+    @Override
+    public String toString() {
+        return workspace.map(name -> "workspace " + name + ", ").orElse("") + "parts " + parts;
+    }
+
     /** Returns the traits that both have. */
     public CallTraits intersect(CallTraits other) {
         Set<PromptPart> common = new LinkedHashSet<>(parts);
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -11,12 +11,10 @@
 import coriandersill.relay.QuarantineEvents;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
-import coriandersill.rollout.CallSample;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.RetryDecision;
 import coriandersill.routing.RetryPolicy;
-import coriandersill.upstreams.Upstream;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -57,6 +55,7 @@
     final CallTrace trace;
     private final Context context;
     final CallTraits traits;
+    final AttemptSamples samples;
     private final long arrivedAtNanos;
     private final RetryPolicy retryPolicy;
     private final Set<InstanceId> excluded = new HashSet<>();
@@ -87,6 +86,8 @@
         this.context = components.vertx().getOrCreateContext();
         this.arrivedAtNanos = arrivedAtNanos;
         this.traits = plan.traits();
+        this.samples = new AttemptSamples(
+                components.rollouts(), components.upstreams(), plan.route().name());
         this.retryPolicy = components.retryPolicies().forCall(plan);
     }
 
@@ -297,7 +298,7 @@
         }
         if (failure.ran() != Ran.NO) {
             possibleRunCount++;
-            recordSample(target, true, CallSample.NOT_MEASURED, CallSample.NOT_MEASURED);
+            samples.failed(target.upstream());
         }
         AttemptFailure attempt = new AttemptFailure(
                 failure, plan.route().repeatable(), unresumableEvents(), possibleRunCount, timeLeft(), ranBefore);
@@ -365,31 +366,6 @@
         components.workers().executeOrRun(() -> components.selector().recordResult(target, result));
     }
 
-    /**
-     * Counts an attempt as evidence for a rollout of its service. Attempts at an upstream that is still warming up are
-     * left out.
-     *
-     * @param firstNanos the time to the first event or the response, or {@link CallSample#NOT_MEASURED}
-     * @param betweenNanos the mean time between events, or {@link CallSample#NOT_MEASURED}
-     */
-    final void recordSample(UpstreamSelector.Selection target, boolean failed, long firstNanos, long betweenNanos) {
-        Upstream upstream = target.upstream();
-        boolean observed = components.rollouts().isObserved(upstream.service())
-                && !components.upstreams().isCold(upstream.instance());
-        if (observed) {
-            components
-                    .rollouts()
-                    .record(new CallSample(
-                            upstream.service(),
-                            upstream.version(),
-                            plan.route().name(),
-                            upstream.zone(),
-                            failed,
-                            firstNanos,
-                            betweenNanos));
-        }
-    }
-
     /** Fails the call. */
     final void fail(CallFailure failure) {
         if (ended) {
@@ -439,7 +415,7 @@
         }
         boolean notRun = exchange == null && ranBefore == Ran.NO;
         if (exchange != null) {
-            recordSample(selection, true, CallSample.NOT_MEASURED, CallSample.NOT_MEASURED);
+            samples.failed(selection.upstream());
         }
         cancelExchange(ErrorKind.DEADLINE_EXCEEDED);
         fail(CallFailure.of(
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -7,7 +7,6 @@
 import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
-import coriandersill.rollout.CallSample;
 import coriandersill.routing.CallResult;
 import coriandersill.upstreams.Upstream;
 import io.vertx.core.Context;
@@ -297,14 +296,14 @@
         private void recordIfNotBegun() {
             if (!firstEventReceived && exchange != null && selection.equals(target) && !hasEnded()) {
                 latencyRecorded = true;
-                recordSample(target, false, components.clock().nanos() - sentAtNanos, CallSample.NOT_MEASURED);
+                samples.begun(target.upstream(), components.clock().nanos() - sentAtNanos);
             }
         }
 
         private void handleFirstEvent() {
             firstEventAtNanos = components.clock().nanos();
             if (copy == null && !latencyRecorded) {
-                recordSample(target, false, firstEventAtNanos - sentAtNanos, CallSample.NOT_MEASURED);
+                samples.begun(target.upstream(), firstEventAtNanos - sentAtNanos);
             }
             components.workers().executeOrRun(() -> components.selector().recordPromptPrefilled(target, plan));
             if (copy != null && move != null) {
@@ -396,7 +395,7 @@
             long endedAtNanos = components.clock().nanos();
             if (eventsOfEngine > 1) {
                 long betweenNanos = (endedAtNanos - firstEventAtNanos) / (eventsOfEngine - 1);
-                recordSample(target, false, CallSample.NOT_MEASURED, betweenNanos);
+                samples.paced(target.upstream(), betweenNanos);
             }
             long streamNanos = endedAtNanos - sentAtNanos;
             recordResult(target, CallResult.ok(streamNanos / Math.max(1, eventCount), 0, eventCount));
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -3,8 +3,8 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
+import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.ResponseHead;
-import coriandersill.rollout.CallSample;
 import coriandersill.routing.CallResult;
 import io.vertx.core.buffer.Buffer;
 
@@ -88,6 +88,25 @@
 
         @Override
         public void ended() {
+            if (head.framed()) {
+                complete();
+                return;
+            }
+            // Without framing, a crash of the upstream looks like the end of the response.
+            components
+                    .engineControl()
+                    .processState(target.upstream())
+                    .whenComplete((state, error) -> runOnContext(() -> {
+                        if (state == EngineProcessState.ENDED) {
+                            failed(CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the response ended with its upstream")
+                                    .withRan(Ran.UNKNOWN));
+                        } else {
+                            complete();
+                        }
+                    }));
+        }
+
+        private void complete() {
             responseBody.release();
             CallFailure failure = ResponseValidator.failure(plan, head);
             if (failure != null) {
@@ -97,7 +116,7 @@
             }
             long responseNanos = components.clock().nanos() - sentAtNanos;
             recordResult(target, CallResult.ok(responseNanos, 0, 0));
-            recordSample(target, false, responseNanos, CallSample.NOT_MEASURED);
+            samples.begun(target.upstream(), responseNanos);
             exchange = null;
             components.metrics().recordResponseTime(elapsedNanos());
             sendResponse(head, responseBody.bytes());
