--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -6,9 +6,7 @@
 import coriandersill.core.Ran;
 import coriandersill.events.EventCode;
 import coriandersill.quarantine.CallTraits;
-import coriandersill.quarantine.QuarantineDecision;
 import coriandersill.relay.KvCacheCopy;
-import coriandersill.relay.QuarantineEvents;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
 import coriandersill.routing.AttemptFailure;
@@ -56,6 +54,7 @@
     private final Context context;
     final CallTraits traits;
     final AttemptSamples samples;
+    private final QuarantineCheck quarantineCheck;
     private final long arrivedAtNanos;
     private final RetryPolicy retryPolicy;
     private final Set<InstanceId> excluded = new HashSet<>();
@@ -88,6 +87,12 @@
         this.traits = plan.traits();
         this.samples = new AttemptSamples(
                 components.rollouts(), components.upstreams(), plan.route().name());
+        this.quarantineCheck = new QuarantineCheck(
+                components.quarantine(),
+                components.metrics(),
+                trace,
+                plan.request().id(),
+                traits);
         this.retryPolicy = components.retryPolicies().forCall(plan);
     }
 
@@ -153,26 +158,9 @@
 
     /** Fails the call if a part of its prompt is quarantined and no engine has begun it; returns whether it did. */
     private boolean isRefusedByQuarantine() {
-        if (hasBegun()) {
-            return false;
-        }
-        QuarantineDecision decision =
-                components.quarantine().check(plan.request().id(), traits);
-        if (decision instanceof QuarantineDecision.Refused refused) {
-            trace.record(EventCode.CALL_QUARANTINED, elapsedMillis(), QuarantineEvents.evidence(refused.verdict()));
-            components.metrics().increment("relay.quarantine.refused");
-            fail(CallFailure.of(
-                            ErrorKind.QUARANTINED,
-                            "a part of the prompt was in generations at "
-                                    + refused.verdict().crashes() + " consecutive crashes of engines")
-                    .withRan(ranBefore)
-                    .withRetryAfter(refused.retryAfter()));
-            return true;
-        }
-        if (decision instanceof QuarantineDecision.Probe probe) {
-            trace.record(EventCode.QUARANTINE_PROBE, elapsedMillis(), QuarantineEvents.evidence(probe.verdict()));
-        }
-        return false;
+        Optional<CallFailure> refusal = hasBegun() ? Optional.empty() : quarantineCheck.check(elapsedMillis());
+        refusal.ifPresent(failure -> fail(failure.withRan(ranBefore)));
+        return refusal.isPresent();
     }
 
     private void selectUpstream(Set<InstanceId> preferred) {
