Free the memory of abandoned error bodies; do not copy an incomplete event anew

A caller that left in the middle of an error response left its bytes accounted for, until no call would have been accepted. A refusal logs the age of its last crash.

--- a/daemon/src/main/java/coriandersill/daemon/internal/EntryAssembly.java
+++ b/daemon/src/main/java/coriandersill/daemon/internal/EntryAssembly.java
@@ -376,16 +376,7 @@
     private final class QuarantineLog implements QuarantineObserver {
         @Override
         public void quarantined(QuarantineVerdict verdict) {
-            resources
-                    .events()
-                    .record(
-                            EventCode.PART_QUARANTINED,
-                            Map.of(
-                                    "part", verdict.part(),
-                                    "scope", verdict.scope(),
-                                    "crashes", verdict.crashes(),
-                                    "engines", verdict.engines(),
-                                    "reporter", verdict.reporter()));
+            resources.events().record(EventCode.PART_QUARANTINED, verdict.evidence());
         }
 
         @Override
--- a/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
@@ -9,7 +9,6 @@
 import coriandersill.events.EventCode;
 import coriandersill.quarantine.EngineIncarnation;
 import coriandersill.quarantine.QuarantineDecision;
-import coriandersill.quarantine.QuarantineVerdict;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.RetryDecision;
@@ -19,6 +18,7 @@
 import io.vertx.core.Context;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -155,20 +155,13 @@
         if (!(decision instanceof QuarantineDecision.Refused refused)) {
             return false;
         }
-        QuarantineVerdict verdict = refused.verdict();
-        entry.events()
-                .record(
-                        EventCode.CALL_QUARANTINED,
-                        Map.of(
-                                "call", plan.id(),
-                                "part", verdict.part(),
-                                "scope", verdict.scope(),
-                                "crashes", verdict.crashes(),
-                                "engines", verdict.engines(),
-                                "reporter", verdict.reporter()));
+        Map<String, Object> details = new LinkedHashMap<>(refused.evidence());
+        details.put("call", plan.id());
+        entry.events().record(EventCode.CALL_QUARANTINED, details);
         CallFailure quarantined = CallFailure.of(
                         ErrorKind.QUARANTINED,
-                        "a part of the prompt was in generations at " + verdict.crashes()
+                        "a part of the prompt was in generations at "
+                                + refused.verdict().crashes()
                                 + " consecutive crashes of upstreams")
                 .withRetryAfter(refused.retryAfter());
         // A call that has run is not reported as one that was refused.
--- a/quarantine/src/main/java/coriandersill/quarantine/PromptQuarantine.java
+++ b/quarantine/src/main/java/coriandersill/quarantine/PromptQuarantine.java
@@ -125,7 +125,8 @@
         if (due && suspect.tryProbe(call, now, PROBE_TIMEOUT)) {
             return new QuarantineDecision.Probe(suspect.verdict());
         }
-        return new QuarantineDecision.Refused(suspect.verdict(), due ? PROBE_TIMEOUT : left);
+        return new QuarantineDecision.Refused(
+                suspect.verdict(), suspect.sinceLastCrash(now), due ? PROBE_TIMEOUT : left);
     }
 
     /** Returns when this entry tests a part if the reporter has not; different for each entry, so that few do. */
--- a/quarantine/src/main/java/coriandersill/quarantine/QuarantineDecision.java
+++ b/quarantine/src/main/java/coriandersill/quarantine/QuarantineDecision.java
@@ -1,6 +1,8 @@
 package coriandersill.quarantine;
 
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /** Whether a generation may be sent to an engine. */
 public sealed interface QuarantineDecision {
@@ -19,7 +21,17 @@
      * The generation must not be sent.
      *
      * @param verdict the verdict on one of its parts
+     * @param lastCrashAge the time since the last crash that this entry knows of
      * @param retryAfter the time until the part may be tested again
      */
-    record Refused(QuarantineVerdict verdict, Duration retryAfter) implements QuarantineDecision {}
+    record Refused(QuarantineVerdict verdict, Duration lastCrashAge, Duration retryAfter)
+            implements QuarantineDecision {
+
+        /** Returns the evidence by name, for a log line. */
+        public Map<String, Object> evidence() {
+            Map<String, Object> evidence = new LinkedHashMap<>(verdict.evidence());
+            evidence.put("last_crash_age_ms", lastCrashAge.toMillis());
+            return evidence;
+        }
+    }
 }
--- a/quarantine/src/main/java/coriandersill/quarantine/QuarantineVerdict.java
+++ b/quarantine/src/main/java/coriandersill/quarantine/QuarantineVerdict.java
@@ -2,6 +2,7 @@
 
 import coriandersill.core.InstanceId;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 
 /**
@@ -25,4 +26,9 @@
             throw new IllegalArgumentException("scope: expected to contain part " + part + ", found " + scope.parts());
         }
     }
+
+    /** Returns the evidence by name, for a log line. */
+    public Map<String, Object> evidence() {
+        return Map.of("part", part, "scope", scope, "crashes", crashes, "engines", engines, "reporter", reporter);
+    }
 }
--- a/relay/src/main/java/coriandersill/relay/QuarantineEvents.java
+++ b/relay/src/main/java/coriandersill/relay/QuarantineEvents.java
@@ -21,19 +21,9 @@
         return new QuarantineEvents(events);
     }
 
-    /** Returns the evidence of a verdict as details of an event. */
-    public static Map<String, Object> evidence(QuarantineVerdict verdict) {
-        return Map.of(
-                "part", verdict.part(),
-                "scope", verdict.scope(),
-                "crashes", verdict.crashes(),
-                "engines", verdict.engines(),
-                "reporter", verdict.reporter());
-    }
-
     @Override
     public void quarantined(QuarantineVerdict verdict) {
-        events.record(EventCode.PART_QUARANTINED, evidence(verdict));
+        events.record(EventCode.PART_QUARANTINED, verdict.evidence());
     }
 
     @Override
--- a/relay/src/main/java/coriandersill/relay/internal/EventSplitter.java
+++ b/relay/src/main/java/coriandersill/relay/internal/EventSplitter.java
@@ -30,7 +30,7 @@
 
     /** Appends bytes and returns the events that they complete. */
     List<Event> feed(Buffer more) {
-        Buffer bytes = remainder.length() == 0 ? more : remainder.appendBuffer(more);
+        Buffer bytes = remainder.appendBuffer(more);
         List<Event> events = new ArrayList<>();
         int start = 0;
         for (int end = endOfEvent(bytes); end >= 0; end = endOfEvent(bytes)) {
@@ -38,9 +38,11 @@
             events.add(new Event(parseId(event), event));
             start = end;
         }
-        remainder = start == 0 ? bytes.copy() : bytes.getBuffer(start, bytes.length());
-        scanned -= start;
-        lineStart -= start;
+        if (start > 0) {
+            remainder = bytes.getBuffer(start, bytes.length());
+            scanned -= start;
+            lineStart -= start;
+        }
         return events;
     }
 
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -44,6 +44,7 @@
     private long lastDeliveredEventId;
     private long eventCount;
     private GenerationMove move;
+    private BodyBuffer currentErrorBody;
     private boolean recoveryAttempted;
 
     /** Runs if the current move fails; set when the stream ends or breaks during the move, otherwise null. */
@@ -86,6 +87,9 @@
         if (selection != null) {
             components.generations().remove(selection.upstream().instance(), this);
         }
+        if (currentErrorBody != null) {
+            currentErrorBody.release();
+        }
         if (move != null) {
             move.cancel();
             move = null;
@@ -233,6 +237,7 @@
         private StreamListener(UpstreamSelector.Selection target, KvCacheCopy copy) {
             this.target = target;
             this.copy = copy;
+            currentErrorBody = errorBody;
         }
 
         @Override
@@ -289,6 +294,8 @@
         /** Closes the connection because of what the engine sent. */
         private void abandon(CallFailure reason) {
             exchange.cancel();
+            // There is nothing to recover from an engine that sends no valid stream.
+            recoveryAttempted = true;
             handleFailure(reason);
         }
 
--- a/relay/src/main/java/coriandersill/relay/internal/QuarantineCheck.java
+++ b/relay/src/main/java/coriandersill/relay/internal/QuarantineCheck.java
@@ -6,7 +6,6 @@
 import coriandersill.quarantine.CallTraits;
 import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.quarantine.QuarantineDecision;
-import coriandersill.relay.QuarantineEvents;
 import java.util.Optional;
 
 /** Checks one call against the quarantine of prompt parts, and writes the evidence of a refusal to its trace. */
@@ -21,12 +20,12 @@
     Optional<CallFailure> check(long atMillis) {
         QuarantineDecision decision = quarantine.check(callId, traits);
         if (decision instanceof QuarantineDecision.Probe probe) {
-            trace.record(EventCode.QUARANTINE_PROBE, atMillis, QuarantineEvents.evidence(probe.verdict()));
+            trace.record(EventCode.QUARANTINE_PROBE, atMillis, probe.verdict().evidence());
         }
         if (!(decision instanceof QuarantineDecision.Refused refused)) {
             return Optional.empty();
         }
-        trace.record(EventCode.CALL_QUARANTINED, atMillis, QuarantineEvents.evidence(refused.verdict()));
+        trace.record(EventCode.CALL_QUARANTINED, atMillis, refused.evidence());
         metrics.increment("relay.quarantine.refused");
         String message = "a part of the prompt was in generations at "
                 + refused.verdict().crashes() + " consecutive crashes of engines";
