Ask only engines that had announced no departure whether they ended

Each generation that was stopped to move, and each engine that left, cost a connection and a report at the busiest moment of that engine, for an answer that nobody used.

--- a/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
@@ -21,8 +21,8 @@
 
 /**
  * Determines whether an engine's process ended when connections to it broke, and reports the generations that may have
- * crashed it: those that it had not proven to serve. An engine that was leaving is not reported, and neither is a
- * generation that the caller or this entry cancelled.
+ * crashed it: those that it had not proven to serve. An engine that had announced its departure is not asked, and a
+ * generation that the caller or this entry cancelled is not reported.
  *
  * <p>All connections of a process that ends break at about the same time, so breaks are collected for
  * {@link #COLLECTION_MILLIS} before the engine is asked. Thread-safe: guarded by a lock of rank
@@ -65,8 +65,12 @@
         this.events = events;
     }
 
-    /** Records that the connection of a generation to {@code engine} broke without a request of this entry. */
+    /** Records that the connection of a generation to {@code engine} broke without this entry having asked for it. */
     void connectionBroke(Upstream engine, BrokenGeneration generation) {
+        // Checked now, since the listing of an engine that crashes may end before the engine is asked.
+        if (upstreams.isLeavingOrUnknown(engine.instance())) {
+            return;
+        }
         EngineIncarnation incarnation = new EngineIncarnation(engine.instance(), engine.startedAtMillis());
         boolean isFirst = lock.with(() -> {
             List<BrokenGeneration> broken = collecting.get(incarnation);
@@ -80,21 +84,19 @@
             return broken.size() == 1;
         });
         if (isFirst) {
-            // The listing of an engine that crashes may end before it is asked, which is no announced departure.
-            boolean leaving = upstreams.isLeavingOrUnknown(engine.instance());
-            vertx.setTimer(COLLECTION_MILLIS, timer -> askEngine(engine, incarnation, leaving));
+            vertx.setTimer(COLLECTION_MILLIS, timer -> askEngine(engine, incarnation));
         }
     }
 
-    private void askEngine(Upstream engine, EngineIncarnation incarnation, boolean leaving) {
+    private void askEngine(Upstream engine, EngineIncarnation incarnation) {
         engineControl.processState(engine).whenComplete((state, error) -> {
             List<BrokenGeneration> broken = lock.with(() -> collecting.remove(incarnation));
             EngineProcessState known = error == null ? state : EngineProcessState.UNKNOWN;
             List<BrokenGeneration> suspects = broken.stream()
                     .filter(generation -> generation.events() < EVENTS_OF_SUCCESS)
                     .toList();
-            record(engine, broken.size(), suspects, known, leaving);
-            if (known == EngineProcessState.ENDED && !leaving && !suspects.isEmpty()) {
+            record(engine, broken.size(), suspects, known);
+            if (known == EngineProcessState.ENDED && !suspects.isEmpty()) {
                 report(incarnation, suspects);
             }
         });
@@ -106,12 +108,7 @@
         workers.executeOrRun(() -> quarantine.recordOwnCrash(engine, traits));
     }
 
-    private void record(
-            Upstream engine,
-            int brokenCount,
-            List<BrokenGeneration> suspects,
-            EngineProcessState state,
-            boolean leaving) {
+    private void record(Upstream engine, int brokenCount, List<BrokenGeneration> suspects, EngineProcessState state) {
         metrics.increment("relay.engine.broken." + state.name().toLowerCase(Locale.ROOT));
         events.record(
                 EventCode.ENGINE_BROKE,
@@ -120,7 +117,6 @@
                         "started_ms", engine.startedAtMillis(),
                         "version", engine.version(),
                         "process", state,
-                        "leaving", leaving,
                         "begun", brokenCount - suspects.size(),
                         "not_begun",
                                 suspects.stream()
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -433,7 +433,8 @@
 
         @Override
         public void failed(CallFailure streamFailure) {
-            if (streamFailure.kind() != ErrorKind.UNAVAILABLE) {
+            boolean stoppedForMove = move != null && move.stopping();
+            if (streamFailure.kind() != ErrorKind.UNAVAILABLE && !stoppedForMove) {
                 components.crashDetector().connectionBroke(target.upstream(), brokenGeneration());
             }
             handleFailure(streamFailure);
