Do not take a refusal of another call for a refusal of this one

Seen by callers of other systems: 'not run, try again' for a call that runs, or the call runs at a second upstream. Here a response that says that it was not executed was believed before its identifier was compared with that of the call.

Ruled out: an earlier refusal on a connection in use again, since the relay opens a connection for each call; what remains is an upstream that answers a connection with what belongs to another.

Change: the identifier is checked first; such an attempt may have run.

--- a/relay/src/main/java/coriandersill/relay/internal/ResponseValidator.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ResponseValidator.java
@@ -15,15 +15,17 @@
 
     /**
      * Returns the failure of the attempt. It is null if the response belongs to the call, is successful, carries the
-     * upstream's signature and has no content encoding.
+     * upstream's signature and has no content encoding. A refusal of another call says nothing about this one, which
+     * may have run.
      */
     static CallFailure failure(CallPlan plan, ResponseHead head) {
+        if (!belongsToCall(plan, head)) {
+            return CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the answer is another call's")
+                    .withRan(Ran.UNKNOWN);
+        }
         if (head.notExecuted()) {
             return CallFailure.of(ErrorKind.OVERLOADED, "upstream refused with " + head.status());
         }
-        if (!belongsToCall(plan, head)) {
-            return CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the answer is another call's");
-        }
         if (!head.successful()) {
             return CallFailure.of(ErrorKind.UPSTREAM_ERROR, "upstream answered " + head.status());
         }
