Do not take an empty stream or another run for the rest of a stream that broke off

Seen by callers of other systems: a stream that broke off ended as if it were complete, or contained what the next engine sent in its place. Here an engine that ended a resumed stream at once made it complete, and one that began anew had its first events dropped and the others joined to those of the first run.

Also found by reading: a continuation that broke before its first event, without a statement that it had not run, left its move waiting until the deadline of the call; the call now looks for the generation at the target at once, and otherwise ends.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -273,6 +273,14 @@
                 return;
             }
             for (EventSplitter.Event event : splitter.feed(bytes)) {
+                if (isOfAnotherRun(event)) {
+                    abandon(CallFailure.of(
+                                    ErrorKind.OUTCOME_UNKNOWN,
+                                    "resumed stream: expected an event after " + lastDeliveredEventId + ", found "
+                                            + event.id())
+                            .withRan(Ran.UNKNOWN));
+                    return;
+                }
                 if (!firstEventReceived) {
                     firstEventReceived = true;
                     handleFirstEvent();
@@ -291,6 +299,14 @@
             }
         }
 
+        /**
+         * Returns whether the first event of a resumed stream is one that the caller already has: the engine then sends
+         * a run from its beginning, whose other events do not continue those that were delivered.
+         */
+        private boolean isOfAnotherRun(EventSplitter.Event event) {
+            return eventsOfEngine == 0 && event.id() != EventSplitter.NO_ID && event.id() <= lastDeliveredEventId;
+        }
+
         /** Closes the connection because of what the engine sent. */
         private void abandon(CallFailure reason) {
             exchange.cancel();
@@ -386,8 +402,8 @@
 
         private void complete() {
             exchange = null;
-            if (eventCount == 0 && splitter.remainder().length() == 0) {
-                attemptFailed(target, CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the stream ended without an event"));
+            if (eventsOfEngine == 0 && splitter.remainder().length() == 0) {
+                handleFailure(CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the stream ended without an event"));
                 return;
             }
             if (!headSent) {
@@ -445,8 +461,8 @@
             errorBody.release();
             CallFailure cause =
                     streamFailure.kind() == ErrorKind.UNAVAILABLE ? streamFailure.withRan(Ran.NO) : streamFailure;
-            if (copy != null && !firstEventReceived && move != null && cause.ran() == Ran.NO) {
-                move.continuationRefused(cause);
+            if (copy != null && !firstEventReceived && move != null) {
+                handleFailedContinuation(cause);
             } else if (move != null) {
                 onMoveFailed = () -> handleBrokenStream(target, cause);
                 move.streamBroken();
@@ -454,6 +470,15 @@
                 handleBrokenStream(target, cause);
             }
         }
+
+        private void handleFailedContinuation(CallFailure cause) {
+            if (cause.ran() == Ran.NO) {
+                move.continuationRefused(cause);
+            } else {
+                onMoveFailed = () -> handleBrokenStream(target, cause);
+                move.continuationBroken(cause);
+            }
+        }
     }
 
     /** Returns whether any event has been received. */
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -106,6 +106,13 @@
         }
     }
 
+    /** Called when the continuation failed after it may have begun; the call decides what becomes of the generation. */
+    void continuationBroken(CallFailure failure) {
+        // The call holds the reservation of the target since it continued there.
+        target = null;
+        fail("continuation broken: " + failure.getMessage());
+    }
+
     /**
      * Cancels the move because the call has ended; releases the target, and the copy unless the generation has stopped.
      */
