Open a connection to the upstream for each call of a sidecar

Seen by callers of other systems: an answer written once more on a connection that was in use again reached the next caller; with an earlier refusal, a call that ran was reported as not run. In our own front end this could happen: sidecars kept connections to their upstream, and HTTP/1.1 answers name no request.

Ruled out: the entry's numbering of attempts does not help, since the sidecar gives the wrong answer the right number. Weighed: checking an identifier in the answer; the upstreams of our own interface send none.

--- a/functional/src/test/java/coriandersill/functional/SidecarWireTest.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarWireTest.java
@@ -6,10 +6,8 @@
 import static org.hamcrest.Matchers.is;
 
 import coriandersill.admission.FixedLimitAdmission;
-import coriandersill.core.AvailabilityZone;
 import coriandersill.core.CallId;
 import coriandersill.core.ErrorKind;
-import coriandersill.core.InstanceId;
 import coriandersill.core.ServiceName;
 import coriandersill.core.VersionName;
 import coriandersill.sidecar.Sidecar;
@@ -17,12 +15,7 @@
 import coriandersill.standins.engine.EngineSettings;
 import coriandersill.standins.engine.EngineStandIn;
 import coriandersill.wire.Message;
-import coriandersill.wire.PeerIdentity;
-import coriandersill.wire.WireClient;
-import coriandersill.wire.WireConnection;
 import coriandersill.wire.WireEventLoops;
-import coriandersill.wire.WireListener;
-import coriandersill.wire.WireSettings;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
 import java.nio.charset.StandardCharsets;
@@ -31,7 +24,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -47,77 +39,14 @@
     private final WorkerPool workers = WorkerPool.of("test", 2, 100);
     private final EngineStandIn engine = EngineStandIn.create(vertx, "127.0.0.1", 0, EngineSettings.fast());
     private final Message.CallAttempt call = new Message.CallAttempt(CallId.random(new Random(5)), 1);
-    private final List<EntryConnection> connections = new ArrayList<>();
+    private final List<RecordingEntry> connections = new ArrayList<>();
     private Sidecar sidecar;
 
-    /** A connection from an entry that records the messages of calls. */
-    private final class EntryConnection implements WireListener {
-        private final List<Message> received = new CopyOnWriteArrayList<>();
-        private final WireClient client;
-        private volatile WireConnection connection;
-
-        EntryConnection() {
-            client = WireClient.create(
-                    settings("entry", "entry-1"), eventLoops, "127.0.0.1", sidecar.port(), this, new Random(1));
-            client.start();
-            connections.add(this);
-            Await.until(() -> connection != null);
-        }
-
-        @Override
-        public void onConnected(WireConnection opened) {
-            connection = opened;
-        }
-
-        @Override
-        public void onMessage(WireConnection source, Message message) {
-            if (message instanceof Message.CallMessage) {
-                received.add(message);
-            }
-        }
-
-        @Override
-        public void onDisconnected(WireConnection closed) {
-            connection = null;
-        }
-
-        long receivedTokens() {
-            return received.stream()
-                    .filter(Message.Tokens.class::isInstance)
-                    .mapToLong(message -> ((Message.Tokens) message).payloads().size())
-                    .sum();
-        }
-
-        /** Returns the index of the first token received; -1 if none was. */
-        long firstTokenIndex() {
-            return received.stream()
-                    .filter(Message.Tokens.class::isInstance)
-                    .mapToLong(message -> ((Message.Tokens) message).firstIndex())
-                    .findFirst()
-                    .orElse(-1);
-        }
-
-        Message lastMessage() {
-            return received.get(received.size() - 1);
-        }
-    }
-
-    private static WireSettings settings(String role, String name) {
-        boolean isSidecar = role.equals("sidecar");
-        return WireSettings.of(new PeerIdentity(
-                InstanceId.of(name),
-                1,
-                role,
-                AvailabilityZone.of("zone-a"),
-                isSidecar ? "scribe" : "",
-                isSidecar ? "v1" : ""));
-    }
-
     @BeforeEach
     void start() {
         engine.start().join();
         SidecarSettings settings = new SidecarSettings(
-                settings("sidecar", "sidecar-1"),
+                RecordingEntry.wireSettings("sidecar", "sidecar-1"),
                 "127.0.0.1",
                 0,
                 ServiceName.of("scribe"),
@@ -133,13 +62,19 @@
 
     @AfterEach
     void stop() {
-        connections.forEach(entry -> entry.client.stop(Duration.ZERO));
+        connections.forEach(RecordingEntry::disconnect);
         sidecar.stop(Duration.ofMillis(100)).join();
         eventLoops.stop(Duration.ofMillis(100)).join();
         vertx.close().toCompletionStage().toCompletableFuture().join();
         workers.stop(Duration.ZERO);
     }
 
+    private RecordingEntry connect() {
+        RecordingEntry entry = RecordingEntry.connect(eventLoops, sidecar.port());
+        connections.add(entry);
+        return entry;
+    }
+
     private Message.Dispatch dispatch(int maxTokens, int credit) {
         byte[] body = ("{\"max_tokens\":" + maxTokens + "}").getBytes(StandardCharsets.UTF_8);
         return new Message.Dispatch(
@@ -155,17 +90,17 @@
 
     @Test
     void aSidecarSendsNoMoreTokensThanItsCreditAllows() {
-        EntryConnection entry = new EntryConnection();
-        entry.connection.send(dispatch(100, 10));
+        RecordingEntry entry = connect();
+        entry.send(dispatch(100, 10));
         Await.until(() -> entry.receivedTokens() >= 10);
         // When a second call has completed, the first one has had time to exceed its credit of 10 tokens.
         Message.CallAttempt other = new Message.CallAttempt(CallId.random(new Random(6)), 1);
         Message.Dispatch template = dispatch(40, 200);
-        entry.connection.send(new Message.Dispatch(
+        entry.send(new Message.Dispatch(
                 other, template.target(), template.remaining(), 1, 40, 200, template.request(), Optional.empty()));
         Await.until(() -> entry.lastMessage() instanceof Message.Finished);
         assertThat("tokens of both calls", entry.receivedTokens(), is(50L));
-        entry.connection.send(new Message.Credit(call, 90));
+        entry.send(new Message.Credit(call, 90));
         Await.until(() -> entry.lastMessage() instanceof Message.Finished finished
                 && finished.attempt().equals(call));
         assertThat("tokens of both calls", entry.receivedTokens(), is(140L));
@@ -173,15 +108,14 @@
 
     @Test
     void aGenerationResumesOverANewConnectionAtTheFirstTokenNotReceived() {
-        EntryConnection first = new EntryConnection();
-        first.connection.send(dispatch(120, 200));
+        RecordingEntry first = connect();
+        first.send(dispatch(120, 200));
         Await.until(() -> first.receivedTokens() >= 30);
-        first.client.stop(Duration.ZERO);
-        Await.until(() -> first.connection == null);
+        first.disconnect();
         long delivered = first.receivedTokens();
-        EntryConnection second = new EntryConnection();
-        second.connection.send(new Message.Resume(call, delivered, 200));
-        Await.until(() -> !second.received.isEmpty() && second.lastMessage() instanceof Message.Finished);
+        RecordingEntry second = connect();
+        second.send(new Message.Resume(call, delivered, 200));
+        Await.until(() -> !second.received().isEmpty() && second.lastMessage() instanceof Message.Finished);
         assertThat(second.firstTokenIndex(), is(delivered));
         assertThat(delivered + second.receivedTokens(), is(120L));
         assertThat(engine.counters().started(), is(1L));
@@ -189,20 +123,20 @@
 
     @Test
     void aResumeOfAnUnknownGenerationFailsAsInterrupted() {
-        EntryConnection entry = new EntryConnection();
-        entry.connection.send(new Message.Resume(call, 7, 100));
-        Await.until(() -> !entry.received.isEmpty());
+        RecordingEntry entry = connect();
+        entry.send(new Message.Resume(call, 7, 100));
+        Await.until(() -> !entry.received().isEmpty());
         assertThat(entry.lastMessage(), instanceOf(Message.Failed.class));
         assertThat(((Message.Failed) entry.lastMessage()).kind(), is(ErrorKind.GENERATION_INTERRUPTED));
     }
 
     @Test
     void aCancelSentRightAfterItsDispatchIsNotProcessedBeforeIt() {
-        EntryConnection entry = new EntryConnection();
+        RecordingEntry entry = connect();
         for (int i = 0; i < 50; i++) {
             Message.CallAttempt cancelled = new Message.CallAttempt(CallId.random(new Random(i)), 1);
             Message.Dispatch template = dispatch(100_000, 200);
-            entry.connection.send(new Message.Dispatch(
+            entry.send(new Message.Dispatch(
                     cancelled,
                     template.target(),
                     template.remaining(),
@@ -211,24 +145,24 @@
                     200,
                     template.request(),
                     Optional.empty()));
-            entry.connection.send(new Message.Cancel(cancelled));
+            entry.send(new Message.Cancel(cancelled));
         }
         // Frames of a connection are processed in order: once this generation has finished, all cancels have been
         // processed.
-        entry.connection.send(dispatch(5, 200));
-        Await.until(() -> !entry.received.isEmpty() && entry.lastMessage() instanceof Message.Finished);
+        entry.send(dispatch(5, 200));
+        Await.until(() -> !entry.received().isEmpty() && entry.lastMessage() instanceof Message.Finished);
         Await.until(() -> sidecar.isIdle() && engine.counters().running() == 0);
         assertThat(sidecar.admission().load().running(), is(0));
     }
 
     @Test
     void aSecondDispatchOfAnOpenCallIsRejectedAsFenced() {
-        EntryConnection entry = new EntryConnection();
-        entry.connection.send(dispatch(1_000, 5));
+        RecordingEntry entry = connect();
+        entry.send(dispatch(1_000, 5));
         Await.until(() -> entry.receivedTokens() > 0);
-        entry.connection.send(dispatch(1_000, 5));
-        Await.until(() -> entry.received.stream().anyMatch(Message.Refused.class::isInstance));
-        List<ErrorKind> kinds = entry.received.stream()
+        entry.send(dispatch(1_000, 5));
+        Await.until(() -> entry.received().stream().anyMatch(Message.Refused.class::isInstance));
+        List<ErrorKind> kinds = entry.received().stream()
                 .filter(Message.Refused.class::isInstance)
                 .map(message -> ((Message.Refused) message).kind())
                 .toList();
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
@@ -18,7 +18,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-/** An HTTP client for one upstream. */
+/**
+ * An HTTP client for one upstream.
+ *
+ * <p>Each call has a connection of its own: a faulty upstream may write an earlier answer once more, which on a connection
+ * in use again would be taken for the answer of the next call.
+ */
 public final class UpstreamClient implements ManagedService {
     private static final int MAX_CONNECTIONS = 4_096;
     private static final int MAX_WAITING_REQUESTS = MAX_CONNECTIONS;
@@ -35,7 +40,7 @@
     /** Returns a client for the upstream in the settings. */
     public static UpstreamClient create(Vertx vertx, SidecarSettings settings) {
         HttpClientOptions options = new HttpClientOptions()
-                .setKeepAlive(true)
+                .setKeepAlive(false)
                 .setReadIdleTimeout((int) settings.upstreamTimeout().toMillis())
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
