Use the load that upstreams state in their responses for routing

Upstreams of some services state in each response how many calls run and wait and how many slots they have. Until now the entry knew of other entries' calls at a plain upstream nothing, and of those at an engine what the last report said.

A load counts only if it comes with a valid response or a refusal that names the call, is well formed and agrees with the listed slots; any other is counted and logged (504), and the entry's own counts decide alone. Plain upstreams: calls of other entries are what is stated less the entry's own in flight, with a weight that falls to zero within a second. Engines: the stated counts take the place of a report for as long as a report would count as fresh, if the memory of the other generations is known from a report.

Tests: ClaimedLoadTest (malformed values in a table; a queue is avoided; a claim that changes with each answer hinders no call). anUpstreamWithAQueueReceivesFewerCalls fails without the use of the claim: calls are then spread evenly.

--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -112,6 +112,8 @@
     ROUTE_EJECTED(502, Level.WARNING, "upstream ejected for a route"),
     /** An upstream was restored for a route. */
     ROUTE_RESTORED(503, Level.INFO, "upstream restored for a route"),
+    /** A response states a load of its upstream that is malformed or contradicts the listing. */
+    CLAIMED_LOAD_IGNORED(504, Level.INFO, "load stated by an upstream ignored"),
     /** The state of a rollout has changed. */
     ROLLOUT_CHANGED(600, Level.INFO, "rollout state changed"),
     /** A version was judged to be bad and receives no new work from this instance. */
--- a/relay/src/main/java/coriandersill/relay/ResponseHead.java
+++ b/relay/src/main/java/coriandersill/relay/ResponseHead.java
@@ -11,6 +11,7 @@
  * @param notExecuted whether the response states that the request was not executed
  * @param contentEncoded whether the body has a content encoding, which is never requested
  * @param framed whether the end of the body can be distinguished from a dropped connection
+ * @param load what the response says of the upstream's load
  * @param forwardedHeaders the headers that are forwarded to the caller
  */
 public record ResponseHead(
@@ -20,6 +21,7 @@
         boolean notExecuted,
         boolean contentEncoded,
         boolean framed,
+        ClaimedLoad load,
         MultiMap forwardedHeaders) {
     private static final int FIRST_SUCCESS_STATUS = 200;
     private static final int FIRST_REDIRECTION_STATUS = 300;
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -354,6 +354,11 @@
         components.workers().executeOrRun(() -> components.selector().recordResult(target, result));
     }
 
+    /** Passes on the load that the upstream states in a response to the call. */
+    final void recordLoad(UpstreamSelector.Selection target, ResponseHead head) {
+        components.workers().executeOrRun(() -> components.claimedLoads().record(plan, target, head));
+    }
+
     /** Fails the call. */
     final void fail(CallFailure failure) {
         if (ended) {
--- a/relay/src/main/java/coriandersill/relay/internal/DepartureListener.java
+++ b/relay/src/main/java/coriandersill/relay/internal/DepartureListener.java
@@ -19,6 +19,7 @@
         Router engineRouter,
         Router plainRouter,
         ColdCallLimiter coldCallLimiter,
+        ClaimedLoads claimedLoads,
         EventLog events)
         implements UpstreamListener {
     @Override
@@ -48,5 +49,6 @@
         engineRouter.removeInstance(upstream.instance());
         plainRouter.removeInstance(upstream.instance());
         coldCallLimiter.removeInstance(upstream.instance());
+        claimedLoads.removeInstance(upstream.instance());
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -259,6 +259,7 @@
             head = received;
             components.upstreams().markReachable(target.upstream().instance());
             failure = ResponseValidator.failure(plan, received);
+            recordLoad(target, received);
             if (failure == null && !headSent) {
                 pendingHead = received;
             }
--- a/relay/src/main/java/coriandersill/relay/internal/LoadReader.java
+++ b/relay/src/main/java/coriandersill/relay/internal/LoadReader.java
@@ -7,6 +7,7 @@
 import coriandersill.events.EventLog;
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.EngineReport;
+import coriandersill.routing.LoadReport;
 import coriandersill.routing.OtherEntriesLoad;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamTable;
@@ -117,6 +118,22 @@
                 });
     }
 
+    /**
+     * Applies the load that an engine states in a response, which makes its report needless for a while. It counts
+     * generations; those of other entries are assumed to occupy as much memory each as in the last report.
+     */
+    void applyClaim(Upstream engine, LoadReport claim) {
+        int otherEntries = Math.max(0, claim.running() + claim.waiting() - selector.inFlight(engine));
+        OtherEntriesLoad reported = selector.otherEntriesLoad(engine);
+        if (otherEntries > 0 && reported.inFlight() == 0) {
+            // The memory of the other entries' generations is unknown; only a report states it.
+            return;
+        }
+        long tokensEach = reported.inFlight() == 0 ? 0 : reported.reservedTokens() / reported.inFlight();
+        readAtNanos.put(engine.instance(), clock.nanos());
+        selector.updateOtherEntriesLoad(engine, new OtherEntriesLoad(otherEntries, otherEntries * tokensEach, 0));
+    }
+
     private boolean applyReport(Upstream engine, EngineReport report) {
         readAtNanos.put(engine.instance(), clock.nanos());
         readAtNanos.keySet().retainAll(upstreams.instanceIds());
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -108,6 +108,7 @@
 
         private void complete() {
             responseBody.release();
+            recordLoad(target, head);
             CallFailure failure = ResponseValidator.failure(plan, head);
             if (failure != null) {
                 boolean forwardable = ResponseValidator.isForwardable(plan, head);
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -49,6 +49,9 @@
     /** The cost of copying a generation to another zone, which occupies the link twice as long, in prompt tokens. */
     private static final int OTHER_ZONE_MOVE_COST_TOKENS = 4_000;
 
+    /** The age from which a load that a plain upstream stated is ignored; its calls end within a fraction of it. */
+    private static final Duration CLAIMED_LOAD_LIFETIME = Duration.ofSeconds(1);
+
     /** A third of the heap of an entry, beside what connections and streams need. */
     private static final long MAX_BODY_MEMORY_BYTES = 36L << 20;
 
@@ -98,12 +101,15 @@
         Router engineRouter = Router.builder(clock, random)
                 .policy(LeastPromptBacklog.of(GENERATION_COST_TOKENS, OTHER_ZONE_COST_TOKENS, random.nextInt()))
                 .build();
-        Router plainRouter = Router.builder(clock, random).build();
+        Router plainRouter = Router.builder(clock, random)
+                .reportLifetime(CLAIMED_LOAD_LIFETIME)
+                .build();
         ColdCallLimiter coldCallLimiter = ColdCallLimiter.create(clock);
         GenerationTable generations = new GenerationTable();
         UpstreamSelector selector = createSelector(dependencies, engineRouter, plainRouter, coldCallLimiter);
         LoadReader loadReader = createLoadReader(dependencies, selector, generations);
         RelayMetrics metrics = new RelayMetrics(dependencies.metrics());
+        ClaimedLoads claimedLoads = new ClaimedLoads(loadReader, selector, metrics, dependencies.events());
         RelayComponents components = new RelayComponents(
                 vertx,
                 client,
@@ -112,6 +118,7 @@
                 new CallPlanner(dependencies.catalogs(), settings.maxCatalogAge(), random),
                 selector,
                 loadReader,
+                claimedLoads,
                 createCrashDetector(dependencies, metrics),
                 dependencies.quarantine(),
                 dependencies.rollouts(),
@@ -132,7 +139,13 @@
         dependencies
                 .upstreams()
                 .addListener(new DepartureListener(
-                        generations, movePlanner, engineRouter, plainRouter, coldCallLimiter, dependencies.events()));
+                        generations,
+                        movePlanner,
+                        engineRouter,
+                        plainRouter,
+                        coldCallLimiter,
+                        claimedLoads,
+                        dependencies.events()));
         RelayServer callServer = new RelayServer(components);
         Gauge<Integer> openCalls = callServer::openCalls;
         dependencies.metrics().register("relay.open", openCalls);
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -22,6 +22,7 @@
         CallPlanner planner,
         UpstreamSelector selector,
         LoadReader loadReader,
+        ClaimedLoads claimedLoads,
         CrashDetector crashDetector,
         PromptQuarantine quarantine,
         OrderedRollouts rollouts,
--- a/relay/src/main/java/coriandersill/relay/internal/ResponseValidator.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ResponseValidator.java
@@ -48,6 +48,17 @@
                 && !NOT_EXECUTED_STATUSES.contains(head.status());
     }
 
+    /**
+     * Returns whether what the response states of its upstream's load may be used: it is a success of the call, or a
+     * refusal that names the call.
+     */
+    static boolean mayStateLoad(CallPlan plan, ResponseHead head) {
+        if (head.notExecuted()) {
+            return plan.request().id().equals(head.callId());
+        }
+        return failure(plan, head) == null;
+    }
+
     /** Returns whether the response names this call; one that names no call also counts as its response. */
     private static boolean belongsToCall(CallPlan plan, ResponseHead head) {
         return head.callId() == null || head.callId().equals(plan.request().id());
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamSelector.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamSelector.java
@@ -10,6 +10,7 @@
 import coriandersill.routing.CallResult;
 import coriandersill.routing.Candidate;
 import coriandersill.routing.CandidateInfo;
+import coriandersill.routing.LoadReport;
 import coriandersill.routing.OtherEntriesLoad;
 import coriandersill.routing.RouteRequest;
 import coriandersill.routing.Router;
@@ -265,6 +266,21 @@
                 .toList();
     }
 
+    /** Records the load that a plain upstream states in a response. */
+    void recordLoad(Upstream upstream, LoadReport report) {
+        plainRouter.recordReport(upstream.instance(), report);
+    }
+
+    /** Returns the number of this entry's generations in flight at an engine. */
+    int inFlight(Upstream engine) {
+        return engineRouter.inFlight(engine.instance());
+    }
+
+    /** Returns the load that other entries have on an engine, as far as it is known. */
+    OtherEntriesLoad otherEntriesLoad(Upstream engine) {
+        return engineRouter.otherEntriesLoad(engine.instance());
+    }
+
     /** Records the load that other entries have on an engine. */
     void updateOtherEntriesLoad(Upstream engine, OtherEntriesLoad load) {
         engineRouter.updateOtherEntriesLoad(engine.instance(), load);
--- a/routing/src/main/java/coriandersill/routing/Router.java
+++ b/routing/src/main/java/coriandersill/routing/Router.java
@@ -95,6 +95,11 @@
         lock.run(() -> instances.updateOtherEntriesLoad(instance, load, clock.nanos()));
     }
 
+    /** Returns the last recorded load of other entries at an instance that is not older than the report lifetime. */
+    public OtherEntriesLoad otherEntriesLoad(InstanceId instance) {
+        return lock.with(() -> instances.otherEntriesLoad(instance, clock.nanos()));
+    }
+
     /**
      * Adds {@code tokens} prompt tokens that an instance has yet to prefill; a negative value removes tokens that it
      * has prefilled.
--- a/routing/src/main/java/coriandersill/routing/internal/InstanceTable.java
+++ b/routing/src/main/java/coriandersill/routing/internal/InstanceTable.java
@@ -66,6 +66,15 @@
         state.otherEntriesUpdatedAtNanos = nowNanos;
     }
 
+    /** Returns the last load of other entries at an instance; none if it is older than the report lifetime. */
+    public OtherEntriesLoad otherEntriesLoad(InstanceId instance, long nowNanos) {
+        State state = states.get(instance);
+        boolean known = state != null
+                && state.otherEntriesLoad != null
+                && nowNanos - state.otherEntriesUpdatedAtNanos <= reportLifetimeNanos;
+        return known ? state.otherEntriesLoad : OtherEntriesLoad.NONE;
+    }
+
     /** Removes the state of an instance. */
     public void remove(InstanceId instance) {
         states.remove(instance);
@@ -104,9 +113,7 @@
     }
 
     private Candidate withOtherEntriesLoad(CandidateInfo info, State state, long nowNanos) {
-        OtherEntriesLoad otherEntries = nowNanos - state.otherEntriesUpdatedAtNanos > reportLifetimeNanos
-                ? OtherEntriesLoad.NONE
-                : state.otherEntriesLoad;
+        OtherEntriesLoad otherEntries = otherEntriesLoad(info.instance(), nowNanos);
         return new Candidate(
                 info.instance(),
                 info.zone(),
