Read the store's topics from other entries, with one reader a region

Each entry polled the listings with an interval of 15 ms an upstream, 525 ms there; of five engines that left at once, a read returned with the first record and the other four were seen an interval later. All entries paid for the same knowledge.

Ruled out: shorter intervals (the calls grow with the entries); two readers a zone (five times the calls for the same delay).

Change: FeedSources orders zones and entries; one entry a region reads the store, others read from it along a tree, and read the store themselves as soon as the one they read from fails, hangs, knows an old state or other keys. An entry that the store turns away learns from the others.

--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -137,7 +137,9 @@
     /** A record could not be appended to the platform's log yet and is retried. */
     RECORD_DELAYED(803, Level.INFO, "record not appended yet"),
     /** A record was dropped because the platform's log did not accept it in time. */
-    RECORD_NOT_SENT(804, Level.WARNING, "record not appended");
+    RECORD_NOT_SENT(804, Level.WARNING, "record not appended"),
+    /** This entry reads a topic from another entry, or from the store, than before; the details give the reason. */
+    FEED_SOURCE_CHANGED(805, Level.INFO, "topic read from another source");
 
     private final int number;
     private final Level level;
--- a/membership/src/main/java/coriandersill/membership/ConnectionPlan.java
+++ b/membership/src/main/java/coriandersill/membership/ConnectionPlan.java
@@ -159,31 +159,15 @@
     private HashedMember hashed(Member member) {
         return new HashedMember(
                 member.id(),
-                hash(member.id().value()),
-                hash(member.zone().value()),
-                hash(regions.regionOf(member.zone())));
-    }
-
-    /** Returns the 64-bit FNV-1a hash of the UTF-16 code units of {@code text}, with its bits mixed further. */
-    private static long hash(String text) {
-        long hash = 0xcbf29ce484222325L;
-        for (int i = 0; i < text.length(); i++) {
-            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        return mix(hash);
-    }
-
-    /** Applies the 64-bit finalizer of MurmurHash3. */
-    private static long mix(long value) {
-        long mixed = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
-        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return mixed ^ (mixed >>> 33);
+                RendezvousHash.of(member.id().value()),
+                RendezvousHash.of(member.zone().value()),
+                RendezvousHash.of(regions.regionOf(member.zone())));
     }
 
     private record HashedMember(InstanceId id, long idHash, long zoneHash, long regionHash) {
         /** Returns the rendezvous score of a pair of members: symmetric and never negative. */
         long score(HashedMember other) {
-            return mix(idHash + other.idHash) >>> 1;
+            return RendezvousHash.score(idHash, other.idHash);
         }
     }
 }
--- a/upstreams/src/main/java/coriandersill/upstreams/UpstreamTable.java
+++ b/upstreams/src/main/java/coriandersill/upstreams/UpstreamTable.java
@@ -38,6 +38,9 @@
 
     private static final int MAX_DOUBLINGS = 4;
 
+    /** Listings that state ends of a cold start closer than this state the same end. */
+    private static final Duration MAX_COLD_TIME_DIFFERENCE = Duration.ofMillis(500);
+
     private final RankedLock lock = RankedLock.of(LockRank.MEMBERSHIP);
     private final MonotonicClock clock;
     private final long leavingTimeNanos;
@@ -73,13 +76,34 @@
      * Adds or updates a listed upstream.
      *
      * @param coldFor how much longer the upstream is cold; zero if it is not
+     * @return whether anything changed; false if the listing only repeats what was known
      */
-    public void addOrUpdate(Upstream upstream, Duration coldFor) {
-        Change change = lock.with(() -> update(upstream, coldFor));
-        notifyListeners(change, upstream);
+    public boolean addOrUpdate(Upstream upstream, Duration coldFor) {
+        Update update = lock.with(() -> update(upstream, coldFor));
+        notifyListeners(update.change(), upstream);
+        return update.anything();
+    }
+
+    private Update update(Upstream upstream, Duration coldFor) {
+        UpstreamState previous = states.get(upstream.instance());
+        boolean repeats = previous != null
+                && previous.upstream.equals(upstream)
+                && previous.graceEndNanos == null
+                && previous.leavingSinceNanos != null == upstream.leaving()
+                && isSameColdness(previous, coldFor);
+        return new Update(apply(upstream, coldFor), !repeats);
+    }
+
+    /** Returns whether an upstream is cold until about the time that is already known. */
+    private boolean isSameColdness(UpstreamState state, Duration coldFor) {
+        if (state.coldUntilNanos == null || coldFor.isZero()) {
+            return state.coldUntilNanos == null && coldFor.isZero();
+        }
+        long differenceNanos = clock.nanos() + coldFor.toNanos() - state.coldUntilNanos;
+        return Math.abs(differenceNanos) < MAX_COLD_TIME_DIFFERENCE.toNanos();
     }
 
-    private Change update(Upstream upstream, Duration coldFor) {
+    private Change apply(Upstream upstream, Duration coldFor) {
         long now = clock.nanos();
         UpstreamState state = states.get(upstream.instance());
         boolean isNew = state == null || state.upstream.startedAtMillis() != upstream.startedAtMillis();
@@ -278,6 +302,14 @@
         }
     }
 
+    /**
+     * The effect of a listing.
+     *
+     * @param change what listeners are told
+     * @param anything whether anything changed at all, such as how long the upstream is cold
+     */
+    private record Update(Change change, boolean anything) {}
+
     private enum Change {
         NONE,
         JOINED,
