Count waiting generations and copies as load, stop moves while a copy fits, take waiting tags back

Causes, from the log: (1) an engine's load was the generations that run; those that wait and the memory of arriving copies were not counted, so prompts went to engines with a queue, and copies were refused for want of room. (2) On a full engine all copies share its link: each copy of what was added took about 280 ms, one followed another, and the engine was gone before the last. (3) Tags that waited at a leaving engine stayed there until its end.

Change: ReportedLoad (routing) derives the others' load from the runs, the queue and the memory in use. MovePacing (relay) makes the next copy the last while one more still fits, and the first one if there is time for one only. Resumable generations that wait in the queue of a leaving engine are taken back and sent elsewhere, if the retry policy and its budget allow it; otherwise they stay.

--- a/relay/src/main/java/coriandersill/relay/EngineReport.java
+++ b/relay/src/main/java/coriandersill/relay/EngineReport.java
@@ -10,10 +10,17 @@
  * @param startedAtMillis when the engine started, in Unix milliseconds by its own clock; 0 if unspecified
  * @param leaving whether the engine accepts no new work
  * @param timeLeft the time until the engine shuts down; empty if unknown
+ * @param queued the number of generations that wait to run
+ * @param usedTokens the memory in use that cannot be freed, in tokens, by running generations and copies; 0 if unknown
  * @param generations the running generations
  */
 public record EngineReport(
-        long startedAtMillis, boolean leaving, Optional<Duration> timeLeft, List<ReportedGeneration> generations) {
+        long startedAtMillis,
+        boolean leaving,
+        Optional<Duration> timeLeft,
+        int queued,
+        long usedTokens,
+        List<ReportedGeneration> generations) {
 
     /**
      * A generation running on an engine.
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -315,6 +315,41 @@
         findUpstream();
     }
 
+    /**
+     * Takes back a call that its upstream has not begun, and sends it to another one. Does nothing if it may not be
+     * sent again, or if the retry budget is exhausted: it then stays where it is.
+     *
+     * @param reason why the call is taken back
+     */
+    final void restartElsewhere(String reason) {
+        if (ended || exchange == null || sendCount >= MAX_SENDS) {
+            return;
+        }
+        CallFailure failure = CallFailure.of(ErrorKind.DRAINING, reason).withRan(Ran.UNKNOWN);
+        AttemptFailure attempt = new AttemptFailure(
+                failure, plan.route().repeatable(), unresumableEvents(), possibleRunCount + 1, timeLeft(), ranBefore);
+        if (retryPolicy.decide(attempt) instanceof RetryDecision.GiveUp) {
+            return;
+        }
+        possibleRunCount++;
+        ranBefore = attempt.ranInAnyAttempt();
+        exchange.cancel();
+        exchange = null;
+        recordResult(selection, CallResult.failed(ErrorKind.DRAINING));
+        excluded.add(selection.upstream().instance());
+        trace.record(
+                EventCode.CALL_ATTEMPT_FAILED,
+                elapsedMillis(),
+                Map.of(
+                        "upstream", selection.upstream().instance(),
+                        "failure", failure.kind(),
+                        "ran", failure.ran(),
+                        "detail", reason,
+                        "outcome", "taken back"));
+        components.metrics().increment("relay.repeated");
+        findUpstream();
+    }
+
     /** Retries on another upstream after a connection failure, where no part of the request was written. */
     private void handleUnreachable(UpstreamSelector.Selection target, CallFailure failure) {
         components.upstreams().markUnreachable(target.upstream().instance());
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -118,6 +118,23 @@
         }
     }
 
+    /** Returns whether the generation may be sent to another engine, because it has not begun and may run twice. */
+    boolean isRestartable() {
+        return plan.route().resumable() && eventCount == 0;
+    }
+
+    /** Sends the generation to another engine if it waits at {@code engine}; may be called from any thread. */
+    void restartElsewhere(Upstream engine) {
+        context.runOnContext(ignored -> {
+            boolean waits =
+                    selection != null && selection.upstream().instance().equals(engine.instance()) && isRestartable();
+            if (waits && !hasEnded() && exchange != null) {
+                components.generations().remove(engine.instance(), this);
+                restartElsewhere("waits at an engine that leaves");
+            }
+        });
+    }
+
     private void startMove(Duration timeLimit, TargetCriteria criteria) {
         if (!hasEnded() && move == null && exchange != null && isMovable()) {
             move = new GenerationMove(this, selection, timeLimit, criteria);
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -20,12 +20,6 @@
  * copied, and the stream continues on the target. Confined to the Vert.x context of its call.
  */
 final class GenerationMove {
-    /** A copy that takes at most this long indicates that little remains and that no other copy occupies the link. */
-    private static final Duration SHORT_COPY_TIME = Duration.ofMillis(60);
-
-    /** The fraction of the move's time limit after which the generation is stopped in any case. */
-    private static final double STOP_TIME_FRACTION = 0.75;
-
     /**
      * The delay before another try if the generation has not started, another copy is in progress or no target fits.
      */
@@ -37,7 +31,7 @@
     private final GenerationCall call;
     private final RelayComponents components;
     private final UpstreamSelector.Selection source;
-    private final Duration timeLimit;
+    private final MovePacing pacing;
     private final TargetCriteria criteria;
     private final long startedAtNanos;
     private final Set<InstanceId> excluded = new HashSet<>();
@@ -53,18 +47,25 @@
         this.call = call;
         this.components = call.components;
         this.source = source;
-        this.timeLimit = timeLimit;
+        this.pacing = new MovePacing(timeLimit, fullCopyTime(call.plan));
         this.criteria = criteria;
         this.startedAtNanos = components.clock().nanos();
     }
 
+    private static Duration fullCopyTime(CallPlan plan) {
+        return plan.service()
+                .engine()
+                .map(engine -> engine.copyTime(plan.promptTokens()))
+                .orElse(Duration.ZERO);
+    }
+
     void start() {
         call.trace.record(
                 EventCode.GENERATION_MOVING,
                 call.elapsedMillis(),
                 Map.of(
                         "engine", source.upstream().instance(),
-                        "time_left_ms", timeLimit.toMillis(),
+                        "time_left_ms", pacing.timeLimit().toMillis(),
                         "last_event", call.lastEventId()));
         components.metrics().increment("relay.generation.moves_started");
         findTarget();
@@ -143,7 +144,7 @@
                     } else if (found.isPresent()) {
                         target = found.get();
                         startNextCopy();
-                    } else if (excluded.isEmpty() && !isStopDue()) {
+                    } else if (excluded.isEmpty() && !pacing.isStopDue(elapsed())) {
                         components.vertx().setTimer(RETRY_DELAY_MILLIS, timer -> findTarget());
                     } else {
                         fail("no engine has room for the generation");
@@ -152,7 +153,7 @@
     }
 
     private void startNextCopy() {
-        boolean stop = stopping || streamBroken || isStopDue();
+        boolean stop = stopping || streamBroken || pacing.isOneCopyAllThatFits() || pacing.isStopDue(elapsed());
         requestCopy(stop);
     }
 
@@ -206,7 +207,7 @@
         if (result.status() == CopyResult.Status.COPIED && stop && copy != null) {
             call.continueOn(target, copy);
         } else if (result.status() == CopyResult.Status.COPIED) {
-            requestCopy(took.compareTo(SHORT_COPY_TIME) <= 0 || isStopDue());
+            requestCopy(pacing.isLastCopyDue(elapsed(), took));
         } else if (result.status() == CopyResult.Status.NO_RUN) {
             handleNotRunning(stop);
         } else if (result.status() == CopyResult.Status.BUSY) {
@@ -299,7 +300,7 @@
                 .recordResult(selection, CallResult.failed(ErrorKind.DRAINING)));
     }
 
-    private boolean isStopDue() {
-        return components.clock().nanos() - startedAtNanos > timeLimit.toNanos() * STOP_TIME_FRACTION;
+    private Duration elapsed() {
+        return Duration.ofNanos(components.clock().nanos() - startedAtNanos);
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationTable.java
@@ -37,6 +37,13 @@
                 .collect(Collectors.toUnmodifiableSet()));
     }
 
+    /** Returns the generations that are open on an engine, have not begun, and may be sent to another one. */
+    List<GenerationCall> restartable(InstanceId engine) {
+        return lock.with(() -> generationsByEngine.getOrDefault(engine, Set.of()).stream()
+                .filter(GenerationCall::isRestartable)
+                .toList());
+    }
+
     /** Returns the generations that are open on an engine and are to be moved if it leaves. */
     List<GenerationCall> movable(InstanceId engine) {
         return lock.with(() -> generationsByEngine.getOrDefault(engine, Set.of()).stream()
--- a/relay/src/main/java/coriandersill/relay/internal/LoadReader.java
+++ b/relay/src/main/java/coriandersill/relay/internal/LoadReader.java
@@ -9,6 +9,7 @@
 import coriandersill.relay.EngineReport;
 import coriandersill.routing.LoadReport;
 import coriandersill.routing.OtherEntriesLoad;
+import coriandersill.routing.ReportedLoad;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
@@ -162,15 +163,10 @@
     }
 
     private OtherEntriesLoad otherEntriesLoad(Upstream engine, EngineReport report) {
-        Set<String> own = generations.callIds(engine.instance());
-        int inFlight = 0;
-        long tokens = 0;
-        for (EngineReport.ReportedGeneration generation : report.generations()) {
-            if (!own.contains(generation.id())) {
-                inFlight++;
-                tokens += generation.tokens();
-            }
-        }
-        return new OtherEntriesLoad(inFlight, tokens, 0);
+        List<ReportedLoad.Generation> running = report.generations().stream()
+                .map(generation -> new ReportedLoad.Generation(generation.id(), generation.tokens()))
+                .toList();
+        return new ReportedLoad(running, report.queued(), report.usedTokens())
+                .withoutOwn(generations.callIds(engine.instance()));
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
+++ b/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /** Decides when each of this entry's generations moves off an engine that is leaving. */
 final class MovePlanner {
@@ -37,6 +38,10 @@
     /** Plans the moves off {@code engine}, which shuts down after {@code timeLeft}. */
     void planMoves(Upstream engine, Duration timeLeft) {
         List<GenerationCall> own = components.generations().movable(engine.instance());
+        List<GenerationCall> restartable = components.generations().restartable(engine.instance());
+        if (!restartable.isEmpty()) {
+            components.engineControl().report(engine).thenAccept(report -> restartWaiting(engine, restartable, report));
+        }
         if (own.isEmpty()) {
             return;
         }
@@ -63,6 +68,18 @@
                 });
     }
 
+    /** Sends the generations elsewhere that wait in the engine's queue, since they would not begin in time. */
+    private static void restartWaiting(Upstream engine, List<GenerationCall> calls, EngineReport report) {
+        Set<String> running = report.generations().stream()
+                .map(EngineReport.ReportedGeneration::id)
+                .collect(Collectors.toUnmodifiableSet());
+        if (report.queued() > 0) {
+            calls.stream()
+                    .filter(call -> !running.contains(call.callId()))
+                    .forEach(call -> call.restartElsewhere(engine));
+        }
+    }
+
     private void scheduleMoves(
             Upstream engine,
             List<GenerationCall> own,
