Avoid engines that have turned slow, by the pace of streams over all entries

Cause: an entry judges an upstream by ten own calls with a half-life of 10 s, and of 33 entries before 34 engines each calls an engine about once in 40 s.

Ruled out: more probes (they grow with entries times engines); the engine's reports (they list events made, but a batch that prefills makes as few as a slow one).

Change: each stream tells the pace of its engine (PaceWindow: lower quartile of four intervals, so that a lost packet or a bunch of events does not show). SlowEngines compares it with the median over all engines of the service and publishes an engine that takes 2.6 times as long, twice within 1.5 s; all entries then send no new prompts and moves there until the report expires (4 s) or a stream shows the usual pace. More than half of the candidates are never avoided.

--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -114,6 +114,10 @@
     ROUTE_RESTORED(503, Level.INFO, "upstream restored for a route"),
     /** A response states a load of its upstream that is malformed or contradicts the listing. */
     CLAIMED_LOAD_IGNORED(504, Level.INFO, "load stated by an upstream ignored"),
+    /** Streams at an engine are much slower than at its peers; all entries avoid it for a while. */
+    ENGINE_SLOW(505, Level.WARNING, "engine is slow"),
+    /** Streams at an engine that was slow are as fast as usual. */
+    ENGINE_USUAL(506, Level.INFO, "engine is no longer slow"),
     /** The state of a rollout has changed. */
     ROLLOUT_CHANGED(600, Level.INFO, "rollout state changed"),
     /** A version was judged to be bad and receives no new work from this instance. */
--- a/experiment/src/main/java/coriandersill/experiment/Experiment.java
+++ b/experiment/src/main/java/coriandersill/experiment/Experiment.java
@@ -48,6 +48,12 @@
     @Option(name = "--out", description = "directory for the CSV files (default experiment/target/results)")
     private String out = "experiment/target/results";
 
+    @Option(
+            name = "--slow-engines",
+            description =
+                    "compare only how soon entries know of a slow engine, with this many seeds (default 0: do not)")
+    private int slowEngineSeeds;
+
     /** Creates the command with the default options; the argument parser sets the others. */
     public Experiment() {}
 
@@ -62,6 +68,10 @@
     }
 
     private void run() {
+        if (slowEngineSeeds > 0) {
+            new SlowEngineComparison(System.out, slowEngineSeeds).run();
+            return;
+        }
         SimulationRunner runner = new SimulationRunner(threads, seeds, Duration.ofSeconds(seconds));
         for (Deployment target : deployments()) {
             compare(runner, target);
--- a/relay/src/main/java/coriandersill/relay/Relay.java
+++ b/relay/src/main/java/coriandersill/relay/Relay.java
@@ -10,6 +10,7 @@
 import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.internal.RelayAssembly;
 import coriandersill.rollout.OrderedRollouts;
+import coriandersill.routing.SlowEngines;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
@@ -83,6 +84,7 @@
         private DoubleSupplier ownShare = () -> 1;
         private PromptQuarantine quarantine;
         private OrderedRollouts rollouts = OrderedRollouts.create();
+        private SlowEngines slowEngines;
         private EventLog events = EventLog.none();
         private MetricRegistry metrics = new MetricRegistry();
 
@@ -141,6 +143,12 @@
             return this;
         }
 
+        /** Sets the table of slow engines that all entries share. */
+        public Builder slowEngines(SlowEngines value) {
+            slowEngines = Objects.requireNonNull(value, "slowEngines");
+            return this;
+        }
+
         /** Sets the event log and the metric registry. */
         public Builder observers(EventLog log, MetricRegistry registry) {
             events = Objects.requireNonNull(log, "log");
@@ -163,6 +171,7 @@
                     ownShare,
                     quarantine,
                     rollouts,
+                    slowEngines,
                     events,
                     metrics)));
         }
--- a/relay/src/main/java/coriandersill/relay/internal/DepartureListener.java
+++ b/relay/src/main/java/coriandersill/relay/internal/DepartureListener.java
@@ -3,6 +3,7 @@
 import coriandersill.events.EventCode;
 import coriandersill.events.EventLog;
 import coriandersill.routing.Router;
+import coriandersill.routing.SlowEngines;
 import coriandersill.upstreams.ColdCallLimiter;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamListener;
@@ -20,6 +21,7 @@
         Router plainRouter,
         ColdCallLimiter coldCallLimiter,
         ClaimedLoads claimedLoads,
+        SlowEngines slowEngines,
         EventLog events)
         implements UpstreamListener {
     @Override
@@ -50,5 +52,6 @@
         plainRouter.removeInstance(upstream.instance());
         coldCallLimiter.removeInstance(upstream.instance());
         claimedLoads.removeInstance(upstream.instance());
+        slowEngines.removeInstance(upstream.instance());
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -8,6 +8,7 @@
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
 import coriandersill.routing.CallResult;
+import coriandersill.routing.PaceWindow;
 import coriandersill.upstreams.Upstream;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
@@ -242,6 +243,7 @@
         private final UpstreamSelector.Selection target;
         private final KvCacheCopy copy;
         private final EventSplitter splitter = new EventSplitter();
+        private final PaceWindow pace = PaceWindow.create();
         private final BodyBuffer errorBody = new BodyBuffer(components.bodyMemory(), MAX_ERROR_BODY_BYTES);
         private final long sentAtNanos = components.clock().nanos();
         private ResponseHead head;
@@ -304,6 +306,7 @@
                     handleFirstEvent();
                 }
                 eventsOfEngine++;
+                recordPace();
                 if (eventsOfEngine == CrashDetector.EVENTS_OF_SUCCESS) {
                     recordSuccess();
                 }
@@ -356,6 +359,17 @@
             }
         }
 
+        private void recordPace() {
+            if (exchange != null && exchange.isPaused()) {
+                pace.reset();
+                return;
+            }
+            pace.record(components.clock().nanos())
+                    .ifPresent(nanos -> components.workers().executeOrRun(() -> components
+                            .slowEngines()
+                            .recordPace(plan.service().name(), target.upstream().instance(), nanos)));
+        }
+
         /** Records that the engine generates with these prompt parts and lives. */
         private void recordSuccess() {
             if (!traits.parts().isEmpty()) {
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -15,6 +15,7 @@
 import coriandersill.routing.LeastPromptBacklog;
 import coriandersill.routing.Router;
 import coriandersill.routing.RoutingPolicy;
+import coriandersill.routing.SlowEngines;
 import coriandersill.upstreams.ColdCallLimiter;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
@@ -88,6 +89,7 @@
             DoubleSupplier ownShare,
             PromptQuarantine quarantine,
             OrderedRollouts rollouts,
+            SlowEngines slowEngines,
             EventLog events,
             MetricRegistry metrics) {}
 
@@ -122,6 +124,7 @@
                 createCrashDetector(dependencies, metrics),
                 dependencies.quarantine(),
                 dependencies.rollouts(),
+                dependencies.slowEngines(),
                 dependencies.upstreams(),
                 dependencies.codec(),
                 dependencies.engineControl(),
@@ -145,12 +148,15 @@
                         plainRouter,
                         coldCallLimiter,
                         claimedLoads,
+                        dependencies.slowEngines(),
                         dependencies.events()));
         RelayServer callServer = new RelayServer(components);
         Gauge<Integer> openCalls = callServer::openCalls;
         dependencies.metrics().register("relay.open", openCalls);
         Gauge<Long> bodyBytes = components.bodyMemory()::usedBytes;
         dependencies.metrics().register("relay.body_bytes", bodyBytes);
+        Gauge<Integer> slowEngineCount = dependencies.slowEngines()::count;
+        dependencies.metrics().register("relay.slow_engines", slowEngineCount);
         Gauge<Integer> suspectParts = dependencies.quarantine()::suspectCount;
         dependencies.metrics().register("relay.quarantine.suspect_parts", suspectParts);
         Gauge<Integer> quarantinedParts =
@@ -211,6 +217,7 @@
                 coldCallLimiter,
                 dependencies.ownShare(),
                 dependencies.rollouts(),
+                dependencies.slowEngines(),
                 random);
     }
 
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -7,6 +7,7 @@
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.RelaySettings;
 import coriandersill.rollout.OrderedRollouts;
+import coriandersill.routing.SlowEngines;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
@@ -26,6 +27,7 @@
         CrashDetector crashDetector,
         PromptQuarantine quarantine,
         OrderedRollouts rollouts,
+        SlowEngines slowEngines,
         UpstreamTable upstreams,
         CallCodec codec,
         EngineControl engineControl,
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamExchange.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamExchange.java
@@ -22,6 +22,7 @@
     private HttpClientRequest request;
     private HttpClientResponse response;
     private boolean closed;
+    private boolean paused;
 
     private UpstreamExchange(Listener listener) {
         this.listener = listener;
@@ -79,6 +80,7 @@
         if (response == null || closed) {
             return;
         }
+        this.paused = paused;
         if (paused) {
             response.pause();
         } else {
@@ -86,6 +88,11 @@
         }
     }
 
+    /** Returns whether reading the response is paused. */
+    boolean isPaused() {
+        return paused;
+    }
+
     private void send(HttpClientRequest opened, CallCodec codec, UpstreamCall call, Buffer body) {
         request = opened;
         if (closed || !listener.beforeSend()) {
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamSelector.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamSelector.java
@@ -15,6 +15,7 @@
 import coriandersill.routing.RouteRequest;
 import coriandersill.routing.Router;
 import coriandersill.routing.RoutingPolicy;
+import coriandersill.routing.SlowEngines;
 import coriandersill.upstreams.ColdCallLimiter;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamTable;
@@ -48,6 +49,7 @@
     private final ColdCallLimiter coldCallLimiter;
     private final DoubleSupplier ownShare;
     private final OrderedRollouts rollouts;
+    private final SlowEngines slowEngines;
     private final RandomGenerator random;
 
     /** The services for which this entry has received generations. */
@@ -62,6 +64,7 @@
             ColdCallLimiter coldCallLimiter,
             DoubleSupplier ownShare,
             OrderedRollouts rollouts,
+            SlowEngines slowEngines,
             RandomGenerator random) {
         this.settings = settings;
         this.upstreams = upstreams;
@@ -71,6 +74,7 @@
         this.coldCallLimiter = coldCallLimiter;
         this.ownShare = ownShare;
         this.rollouts = rollouts;
+        this.slowEngines = slowEngines;
         this.random = random;
     }
 
@@ -105,10 +109,7 @@
      * Returns a random sample of the engines that a generation could move to, preferring the zone of {@code source}.
      */
     List<Upstream> sampleTargets(CallPlan plan, Upstream source) {
-        List<Upstream> eligible = shuffled(upstreams.inService(plan.service().name()).stream()
-                .filter(upstream -> isInAllowedRegion(plan, upstream) && permitsMove(plan, source, upstream))
-                .filter(upstream -> !upstream.instance().equals(source.instance()))
-                .toList());
+        List<Upstream> eligible = shuffled(permittedTargets(plan, source));
         eligible.sort(Comparator.comparing(upstream -> !upstream.zone().equals(source.zone())));
         return eligible.subList(0, Math.min(TARGET_SAMPLE_SIZE, eligible.size()));
     }
@@ -137,9 +138,10 @@
     /** Returns the upstreams that may serve a call. */
     private List<Upstream> permitted(CallPlan plan) {
         ServiceName service = plan.service().name();
-        return upstreams.inService(service).stream()
+        List<Upstream> permitted = upstreams.inService(service).stream()
                 .filter(upstream -> isInAllowedRegion(plan, upstream) && rollouts.permits(service, upstream.version()))
                 .toList();
+        return slowEngines.withoutSlow(permitted, Upstream::instance);
     }
 
     /** Returns those of the version that a rollout selects for the call, or all if there is none of that version. */
@@ -159,6 +161,14 @@
                 .isPresent();
     }
 
+    private List<Upstream> permittedTargets(CallPlan plan, Upstream source) {
+        List<Upstream> permitted = upstreams.inService(plan.service().name()).stream()
+                .filter(upstream -> !upstream.instance().equals(source.instance()))
+                .filter(upstream -> isInAllowedRegion(plan, upstream) && permitsMove(plan, source, upstream))
+                .toList();
+        return slowEngines.withoutSlow(permitted, Upstream::instance);
+    }
+
     private boolean permitsMove(CallPlan plan, Upstream source, Upstream target) {
         return rollouts.permitsMove(plan.service().name(), source.version(), target.version());
     }
@@ -212,10 +222,8 @@
     /** Selects the engine that a running generation moves to, and counts the generation as in flight there. */
     Optional<Selection> selectTarget(
             CallPlan plan, Upstream source, Set<InstanceId> excluded, TargetCriteria criteria) {
-        List<Upstream> eligible = upstreams.inService(plan.service().name()).stream()
+        List<Upstream> eligible = permittedTargets(plan, source).stream()
                 .filter(upstream -> !excluded.contains(upstream.instance()))
-                .filter(upstream -> !upstream.instance().equals(source.instance()))
-                .filter(upstream -> isInAllowedRegion(plan, upstream) && permitsMove(plan, source, upstream))
                 .toList();
         RouteRequest request = new RouteRequest(
                 plan.service().name(),
