--- a/membership/src/main/java/coriandersill/membership/FeedSources.java
+++ b/membership/src/main/java/coriandersill/membership/FeedSources.java
@@ -35,6 +35,9 @@
     /** The maximum number of doublings of {@link #MIN_AVOIDANCE}. */
     private static final int MAX_DOUBLINGS = 5;
 
+    /** The number of consecutive failures after which an entry is taken for gone: about two minutes. */
+    private static final int FAILURES_OF_GONE_ENTRY = 7;
+
     private final InstanceId self;
     private final AvailabilityZone ownZone;
     private final MonotonicClock clock;
@@ -91,13 +94,18 @@
                 .findFirst();
     }
 
-    /** Records that an entry did not answer, does not know the feed, or knows only an old state of it. */
-    public void recordFailure(InstanceId peer) {
+    /**
+     * Records that an entry did not answer, does not know the feed, or knows only an old state of it.
+     *
+     * @return whether it has failed each time for minutes, so that it is to be taken for gone
+     */
+    public boolean recordFailure(InstanceId peer) {
+        int count = failures.containsKey(peer) ? failures.get(peer).count() : 0;
         if (zones.containsKey(peer)) {
-            int count = failures.containsKey(peer) ? failures.get(peer).count() : 0;
             Duration avoidance = MIN_AVOIDANCE.multipliedBy(1L << Math.min(count, MAX_DOUBLINGS));
             failures.put(peer, new Failures(count + 1, clock.nanos() + avoidance.toNanos()));
         }
+        return count + 1 >= FAILURES_OF_GONE_ENTRY;
     }
 
     /** Records that an entry answered with a recent state. */
--- a/membership/src/test/java/coriandersill/membership/FeedSourcesTest.java
+++ b/membership/src/test/java/coriandersill/membership/FeedSourcesTest.java
@@ -129,6 +129,31 @@
         assertThat(asked, lessThan(17));
     }
 
+    @Test
+    void anEntryThatHasFailedForMinutesIsTakenForGoneButNotSooner() {
+        start(1, 2);
+        InstanceId first = storeReaders().get(0);
+        FeedSources second = entries.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(first))
+                .findFirst()
+                .orElseThrow()
+                .getValue();
+        int failures = 0;
+        Duration elapsed = Duration.ZERO;
+        boolean gone = false;
+        while (!gone) {
+            gone = second.recordFailure(first);
+            failures++;
+            while (!gone && second.preferred(FEED).isEmpty()) {
+                clock.advance(Duration.ofSeconds(1));
+                elapsed = elapsed.plusSeconds(1);
+            }
+        }
+
+        assertThat(failures, is(7));
+        assertThat(elapsed.toSeconds(), is(126L));
+    }
+
     @Test
     void anEntryThatStartsAgainIsAskedAtOnce() {
         start(1, 2);
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -128,10 +128,7 @@
                 dependencies.upstreams(),
                 dependencies.codec(),
                 dependencies.engineControl(),
-                new RetryPolicies(
-                        settings.retryRatio(),
-                        () -> settings.retryBurst() * dependencies.ownShare().getAsDouble(),
-                        random),
+                createRetryPolicies(dependencies),
                 generations,
                 new BodyMemory(MAX_BODY_MEMORY_BYTES),
                 metrics,
@@ -151,6 +148,21 @@
                         dependencies.slowEngines(),
                         dependencies.events()));
         RelayServer callServer = new RelayServer(components);
+        registerGauges(dependencies, callServer, components);
+        ReadinessServer readinessServer = new ReadinessServer(
+                vertx, settings, () -> dependencies.catalogs().newest().isPresent() && !callServer.stopping());
+        return new RelayAssembly(callServer, readinessServer, loadReader, dependencies.upstreams(), movePlanner);
+    }
+
+    private static RetryPolicies createRetryPolicies(Dependencies dependencies) {
+        RelaySettings settings = dependencies.settings();
+        return new RetryPolicies(
+                settings.retryRatio(),
+                () -> settings.retryBurst() * dependencies.ownShare().getAsDouble(),
+                dependencies.random());
+    }
+
+    private static void registerGauges(Dependencies dependencies, RelayServer callServer, RelayComponents components) {
         Gauge<Integer> openCalls = callServer::openCalls;
         dependencies.metrics().register("relay.open", openCalls);
         Gauge<Long> bodyBytes = components.bodyMemory()::usedBytes;
@@ -162,9 +174,6 @@
         Gauge<Integer> quarantinedParts =
                 () -> dependencies.quarantine().verdicts().size();
         dependencies.metrics().register("relay.quarantine.parts", quarantinedParts);
-        ReadinessServer readinessServer = new ReadinessServer(
-                vertx, settings, () -> dependencies.catalogs().newest().isPresent() && !callServer.stopping());
-        return new RelayAssembly(callServer, readinessServer, loadReader, dependencies.upstreams(), movePlanner);
     }
 
     private static LoadReader createLoadReader(
