--- a/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
@@ -21,8 +21,8 @@
 /**
  * An HTTP client for one upstream.
  *
- * <p>Each call has a connection of its own: a faulty upstream may write an earlier answer once more, which on a connection
- * in use again would be taken for the answer of the next call.
+ * <p>Each call has a connection of its own: a faulty upstream may write an earlier answer once more, which on a
+ * connection in use again would be taken for the answer of the next call.
  */
 public final class UpstreamClient implements ManagedService {
     private static final int MAX_CONNECTIONS = 4_096;
