Review case 3: kept versions of a large configuration use up the heap, and entries keep a dropped key

Cause: Feed keeps 4,096 changes of a topic whole, for other entries; versions of a configuration are of any size.

--- a/review/standins/Case3.java
+++ b/review/standins/Case3.java
@@ -1,26 +1,29 @@
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * One entry is partitioned from the store just before a configuration that drops a route and a key. Checks that the
- * other entry, which is in touch all the while, handles no request by the old configuration that was sent later than
- * config_apply_ms after the acknowledgement.
+ * The configuration has grown by many routes and changes often for a minute. Checks afterwards, with the store and the
+ * machines left alone, that a request sent later than config_apply_ms after the acknowledgement of a further version is
+ * not handled as only an older one allows.
  */
 final class Case3 {
+    private static final int ROUTES = 700;
+    private static final long STORM_MILLIS = 1_500;
+    private static final long STORM_PAUSE_MILLIS = 500;
+    private static final long STORM_GAP_MILLIS = 60;
+    private static final long MAX_STORMS_MILLIS = 70_000;
+    private static final long REQUEST_INTERVAL_MILLIS = 100;
+    private static final int TIMEOUT_MILLIS = 1_000;
+    private static final long CALM_MILLIS = 8_000;
     private static final long CONFIG_APPLY_MILLIS = 2_000;
-    private static final long CUT_MILLIS = 5_000;
-    private static final long OBSERVED_MILLIS = 4_500;
-    private static final long REQUEST_INTERVAL_MILLIS = 25;
-    private static final String DROPPED = "/doku417/";
+    private static final long OBSERVED_MILLIS = 8_000;
     private static final String ADDED = "/bira925/";
-    private static final Pattern SOURCE = Pattern.compile("\"to\":\"(edge-[a-z0-9-]+)\"");
 
-    private record Sent(String id, String what, long sentMillis, Http.Response response) {}
+    private record Result(String entry, String id, long sentMillis, Http.Response response) {}
 
     private Case3() {}
 
@@ -30,98 +33,104 @@
 
     private static int run(Rig rig) throws Exception {
         Store store = new Store(rig);
-        List<String> routes = Config.routes();
-        List<String> withOld = new ArrayList<>(routes);
-        withOld.add(Config.route("r-old", DROPPED, "idempotent", Config.LEDGER, 5_000, 2));
-        store.put(Store.OPERATOR, "config", Config.of(7, withOld, Config.KEY, Config.SECOND_KEY));
-        Map<String, Long> ranAt = new ConcurrentHashMap<>();
+        List<String> routes = new ArrayList<>(List.of(
+                Config.route("r-book", Config.BOOK, "non_idempotent", Config.LEDGER, TIMEOUT_MILLIS, 1),
+                Config.route("r-look", Config.LOOK, "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2)));
+        store.put(Store.OPERATOR, "config", Config.of(1, routes, Config.KEY, Config.SECOND_KEY));
+        Set<String> ranIds = ConcurrentHashMap.newKeySet();
         for (int i = 0; i < 3; i++) {
             new Worker(rig, store, "i-ledger" + i, Config.LEDGER, "shewa-" + "abc".charAt(i), (worker, request, connection, out) -> {
-                        String attempt = request.header("X-Coriandersill-Attempt-Id");
-                        ranAt.put(attempt, rig.millis());
+                        ranIds.add(request.header("X-Coriandersill-Attempt-Id"));
                         Rig.sleep(15);
-                        Http.respond(out, 200, worker.signed(request), Http.bytes("looked up " + attempt));
+                        Http.respond(out, 200, worker.signed(request), Http.bytes("done"));
                     })
                     .register();
         }
-        Map<String, Store.Access> accesses = new ConcurrentHashMap<>();
         List<Rig.Entry> entries = new ArrayList<>();
         for (String zone : List.of("shewa-a", "shewa-b")) {
-            String name = "edge-" + zone + "-1";
-            accesses.put(name, store.open());
-            entries.add(rig.startEntry(name, zone, accesses.get(name).port()));
+            entries.add(rig.startEntry("edge-" + zone + "-1", zone, store.open().port()));
         }
         for (Rig.Entry entry : entries) {
             rig.awaitReady(entry);
         }
-        Rig.sleep(6_000);
-        String cutName = sourceOf(entries);
-        Rig.Entry observed = entries.stream().filter(entry -> !entry.name.equals(cutName)).findFirst().orElseThrow();
-        rig.log("the entry to be cut is " + cutName + ", the one in touch is " + observed.name);
-        List<String> first = new ArrayList<>(withOld);
-        first.add(Config.route("r-other", "/other/", "idempotent", Config.LEDGER, 5_000, 2));
-        store.put(Store.OPERATOR, "config", Config.of(8, first, Config.KEY, Config.SECOND_KEY));
-        rig.log("version 8 is acknowledged; it adds a route");
-        Rig.sleep(100);
-        if (rig.trouble) {
-            accesses.get(cutName).silent = true;
-            rig.log(cutName + " is partitioned from the store");
+        Rig.sleep(4_000);
+        List<Result> results = new CopyOnWriteArrayList<>();
+        AtomicBoolean stopped = new AtomicBoolean();
+        Thread load = Rig.start("load", () -> load(rig, entries, results, stopped));
+        for (int i = 0; i < ROUTES; i++) {
+            routes.add(Config.route("r-more" + i, "/more" + i + "/", "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2));
         }
-        Rig.sleep(50);
-        List<String> second = new ArrayList<>(routes);
-        second.add(Config.route("r-new", ADDED, "idempotent", Config.LEDGER, 5_000, 2));
-        store.put(Store.OPERATOR, "config", Config.of(9, second, Config.KEY));
-        long acknowledged = rig.millis();
-        rig.log("version 9 is acknowledged; it drops route r-old and a key, and adds route r-new");
-        List<Sent> all = new CopyOnWriteArrayList<>();
-        List<Thread> clients = new ArrayList<>();
-        while (rig.millis() < acknowledged + OBSERVED_MILLIS) {
-            clients.add(send(rig, observed, all, "dropped route", DROPPED, Config.KEY));
-            clients.add(send(rig, observed, all, "dropped key", Config.LOOK, Config.SECOND_KEY));
-            clients.add(send(rig, observed, all, "added route", ADDED, Config.KEY));
-            Rig.sleep(REQUEST_INTERVAL_MILLIS);
-        }
-        Rig.sleep(CUT_MILLIS - OBSERVED_MILLIS);
-        accesses.get(cutName).silent = false;
-        for (Thread client : clients) {
-            client.join();
+        long version = 2;
+        String grown = Config.of(version, routes, Config.KEY, Config.SECOND_KEY);
+        store.put(Store.OPERATOR, "config", grown);
+        rig.log("version 2 has " + routes.size() + " routes, " + grown.length() + " bytes");
+        Rig.sleep(3_000);
+        long stormsEnd = rig.millis() + MAX_STORMS_MILLIS;
+        while (rig.millis() < stormsEnd && entries.stream().allMatch(Rig.Entry::isAlive)) {
+            long stormEnd = rig.millis() + STORM_MILLIS;
+            while (rig.trouble && rig.millis() < stormEnd) {
+                version++;
+                store.put(Store.OPERATOR, "config", Config.of(version, routes, Config.KEY, Config.SECOND_KEY));
+                Rig.sleep(STORM_GAP_MILLIS);
+            }
+            rig.log("version " + version + " is acknowledged; " + results.size() + " requests so far");
+            Rig.sleep(rig.trouble ? STORM_PAUSE_MILLIS : STORM_MILLIS + STORM_PAUSE_MILLIS);
         }
+        rig.log("the last storm is over; the store and the machines are left alone");
+        Rig.sleep(CALM_MILLIS);
+        version++;
+        List<String> fewer = new ArrayList<>(routes.subList(1, routes.size()));
+        fewer.add(Config.route("r-new", ADDED, "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2));
+        store.put(Store.OPERATOR, "config", Config.of(version, fewer, Config.KEY));
+        long acknowledged = rig.millis();
+        rig.log("version " + version + " is acknowledged; it drops a key and adds route r-new");
+        Rig.sleep(CONFIG_APPLY_MILLIS + 500);
         int broken = 0;
-        for (Sent sent : all) {
-            long after = sent.sentMillis() - acknowledged;
-            boolean old = sent.what().startsWith("dropped") ? ranAt.containsKey(sent.id()) : sent.response().status() == 404;
-            boolean breaks = old && after > CONFIG_APPLY_MILLIS;
-            broken += breaks ? 1 : 0;
-            rig.log(sent.what() + " " + sent.id() + " sent " + after + " ms after the acknowledgement: status "
-                    + sent.response().status() + (ranAt.containsKey(sent.id()) ? ", run by a worker" : ", not run")
-                    + (breaks ? ": BY THE OLD CONFIGURATION" : ""));
+        while (rig.millis() < acknowledged + OBSERVED_MILLIS) {
+            for (Rig.Entry entry : entries) {
+                broken += check(rig, entry, ranIds, "dropped key", Config.LOOK, Config.SECOND_KEY, acknowledged);
+                broken += check(rig, entry, ranIds, "added route", ADDED, Config.KEY, acknowledged);
+            }
+            Rig.sleep(200);
         }
+        stopped.set(true);
+        load.join();
         rig.log(broken + " requests that were sent later than " + CONFIG_APPLY_MILLIS + " ms after the acknowledgement were"
-                + " handled by the old configuration");
-        observed.lines("FEED_SOURCE_CHANGED").forEach(line -> rig.log(observed.name + ": " + line));
-        observed.lines("CONFIGURATION_APPLIED").forEach(line -> rig.log(observed.name + ": " + line));
+                + " handled by an older configuration");
+        for (Rig.Entry entry : entries) {
+            rig.log(entry.name + (entry.isAlive() ? " runs" : " HAS ENDED") + ", readiness " + Client.readiness(entry.readyPort));
+            entry.lines("OutOfMemory").stream().limit(3).forEach(line -> rig.log(entry.name + ": " + line));
+            List<Result> own = results.stream().filter(result -> result.entry().equals(entry.name)).toList();
+            long failed = own.stream().filter(result -> result.response().status() != 200).count();
+            rig.log(entry.name + ": " + own.size() + " other requests, " + failed + " without success");
+        }
         return broken > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
-    /** Returns the entry from which the other one reads the operator's topic, by the log of that one. */
-    private static String sourceOf(List<Rig.Entry> entries) throws Exception {
-        for (Rig.Entry entry : entries) {
-            for (String line : entry.lines("FEED_SOURCE_CHANGED")) {
-                Matcher matcher = SOURCE.matcher(line);
-                if (line.contains(Store.OPERATOR) && matcher.find()) {
-                    return matcher.group(1);
-                }
-            }
-        }
-        throw new IllegalStateException("no entry reads the operator's topic from another one");
+    /** Sends a request; returns 1 if it was handled as only an older configuration allows. */
+    private static int check(
+            Rig rig, Rig.Entry entry, Set<String> ranIds, String what, String prefix, String key, long acknowledged) {
+        String id = Client.newId();
+        long after = rig.millis() - acknowledged;
+        byte[] request = Client.request("GET", Config.HOST, prefix + "2f", id, key, TIMEOUT_MILLIS, "", "");
+        Http.Response response = Client.send(entry.port, request, TIMEOUT_MILLIS + 500);
+        boolean old = what.startsWith("dropped") ? ranIds.contains(id) : response.status() == 404;
+        rig.log(what + " " + id + " at " + entry.name + ", sent " + after + " ms after the acknowledgement: status "
+                + response.status() + (ranIds.contains(id) ? ", run by a worker" : ", not run")
+                + (old ? ": BY AN OLDER CONFIGURATION" : ""));
+        return old ? 1 : 0;
     }
 
-    private static Thread send(Rig rig, Rig.Entry entry, List<Sent> all, String what, String prefix, String key) {
-        return Rig.start("client", () -> {
-            String id = Client.newId();
-            long sentMillis = rig.millis();
-            byte[] request = Client.request("GET", Config.HOST, prefix + "2f", id, key, 1_000, "", "");
-            all.add(new Sent(id, what, sentMillis, Client.send(entry.port, request, 1_500)));
-        });
+    private static void load(Rig rig, List<Rig.Entry> entries, List<Result> results, AtomicBoolean stopped) {
+        for (int i = 0; !stopped.get(); i++) {
+            Rig.Entry entry = entries.get(i % entries.size());
+            Rig.start("client", () -> {
+                String id = Client.newId();
+                long sentMillis = rig.millis();
+                byte[] request = Client.request("GET", Config.HOST, Config.LOOK + "2f", id, Config.KEY, 5_000, "", "");
+                results.add(new Result(entry.name, id, sentMillis, Client.send(entry.port, request, 5_000)));
+            });
+            Rig.sleep(REQUEST_INTERVAL_MILLIS);
+        }
     }
 }
