--- a/review/standins/Case3.java
+++ b/review/standins/Case3.java
@@ -8,22 +8,31 @@
 /**
  * The configuration has grown by many routes and changes often for a minute. Checks afterwards, with the store and the
  * machines left alone, that a request sent later than config_apply_ms after the acknowledgement of a further version is
- * not handled as only an older one allows.
+ * not handled as only an older one allows; and that of the requests without an answer at timeout_ms, at most half have
+ * none half a second later.
  */
 final class Case3 {
-    private static final int ROUTES = 700;
+    private static final int ROUTES = 1_050;
     private static final long STORM_MILLIS = 1_500;
-    private static final long STORM_PAUSE_MILLIS = 500;
+    private static final long STORM_PAUSE_MILLIS = 1_500;
     private static final long STORM_GAP_MILLIS = 60;
     private static final long MAX_STORMS_MILLIS = 70_000;
     private static final long REQUEST_INTERVAL_MILLIS = 100;
     private static final int TIMEOUT_MILLIS = 1_000;
+
+    /** Fewer unanswered requests than this are not judged. */
+    private static final int MIN_UNANSWERED = 8;
+
     private static final long CALM_MILLIS = 8_000;
     private static final long CONFIG_APPLY_MILLIS = 2_000;
     private static final long OBSERVED_MILLIS = 8_000;
     private static final String ADDED = "/bira925/";
 
-    private record Result(String entry, String id, long sentMillis, Http.Response response) {}
+    private record Result(String entry, String id, long sentMillis, long tookMillis, Http.Response response) {
+        private boolean unansweredAfter(long millis) {
+            return response.status() == 0 || tookMillis > millis;
+        }
+    }
 
     private Case3() {}
 
@@ -104,7 +113,16 @@
             long failed = own.stream().filter(result -> result.response().status() != 200).count();
             rig.log(entry.name + ": " + own.size() + " other requests, " + failed + " without success");
         }
-        return broken > 0 ? Rig.BROKEN : Rig.HELD;
+        long atTimeout = results.stream().filter(result -> result.unansweredAfter(TIMEOUT_MILLIS)).count();
+        long later = results.stream().filter(result -> result.unansweredAfter(TIMEOUT_MILLIS + 500)).count();
+        results.stream()
+                .filter(result -> result.unansweredAfter(TIMEOUT_MILLIS + 500))
+                .limit(20)
+                .forEach(result -> rig.log(result.id() + " at " + result.entry() + ", sent at " + result.sentMillis() + " ms: status "
+                        + result.response().status() + " after " + result.tookMillis() + " ms, " + result.response().end()));
+        rig.log("of the other requests " + atTimeout + " had no answer at timeout_ms, " + later + " none half a second later");
+        boolean unanswered = later >= MIN_UNANSWERED && later * 2 > atTimeout;
+        return broken > 0 || unanswered ? Rig.BROKEN : Rig.HELD;
     }
 
     /** Sends a request; returns 1 if it was handled as only an older configuration allows. */
@@ -128,7 +146,8 @@
                 String id = Client.newId();
                 long sentMillis = rig.millis();
                 byte[] request = Client.request("GET", Config.HOST, Config.LOOK + "2f", id, Config.KEY, 5_000, "", "");
-                results.add(new Result(entry.name, id, sentMillis, Client.send(entry.port, request, 5_000)));
+                Http.Response response = Client.send(entry.port, request, 5_000);
+                results.add(new Result(entry.name, id, sentMillis, rig.millis() - sentMillis, response));
             });
             Rig.sleep(REQUEST_INTERVAL_MILLIS);
         }
