--- a/review/standins/Case1.java
+++ b/review/standins/Case1.java
@@ -75,6 +75,9 @@
         load.join();
         rig.log("of the last 4 s, after all old workers have exited: " + (counts[0].get() - okBefore)
                 + " requests served, " + (counts[1].get() - failedBefore) + " not");
+        if (arrivals.isEmpty()) {
+            return Rig.NOT_RUN;
+        }
         int late = 0;
         for (int i = 0; i < old.size(); i++) {
             String name = old.get(i).id;
--- a/review/standins/Case2.java
+++ b/review/standins/Case2.java
@@ -1,18 +1,19 @@
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.Map;
 
 /**
- * An engine whose streams have no length gets notice and is gone 1.9 s later, while its generations move. Checks that no
+ * One of six engines, whose streams have no length, gets notice and is gone 1.68 s later, while its generations move. Checks that no
  * stream ends as complete before its last event, and that none has a gap or an event twice.
  */
 final class Case2 {
     private static final int EVENTS = 250;
-    private static final int GENERATIONS = 5;
+    private static final int GENERATIONS = 18;
     private static final int PROMPT_TOKENS = 6_000;
-    private static final int OUTPUT_TOKENS = 200;
-    private static final long NOTICE_MILLIS = 1_900;
+    private static final int OUTPUT_TOKENS = 1_000;
+    private static final long NOTICE_MILLIS = 1_680;
     private static final long DEADLINE_MILLIS = 39_000;
 
     private Case2() {}
@@ -24,8 +25,12 @@
     private static int run(Rig rig) throws Exception {
         Store store = new Store(rig);
         store.put(Store.OPERATOR, "config", Config.of(7, Config.routes(), Config.KEY));
-        Engine leaving = new Engine(rig, store, "i-leaving", "shewa-a", EVENTS, false);
-        leaving.register();
+        List<Engine> engines = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            Engine engine = new Engine(rig, store, "i-scribe" + i, "shewa-" + "abc".charAt(i / 2), EVENTS, false);
+            engine.register();
+            engines.add(engine);
+        }
         Rig.Entry entry = rig.startEntry("edge-shewa-a-1", "shewa-a", store.open().port());
         rig.awaitReady(entry);
         Rig.sleep(1_500);
@@ -37,20 +42,22 @@
             Rig.sleep(60);
         }
         Rig.sleep(1_500);
-        new Engine(rig, store, "i-second", "shewa-b", EVENTS, true).register();
-        new Engine(rig, store, "i-third", "shewa-c", EVENTS, true).register();
-        Rig.sleep(1_500);
+        Engine leaving = engines.stream().max(Comparator.comparingInt(Engine::running)).orElseThrow();
+        rig.log(leaving.id + " runs " + leaving.running() + " generations, the most");
         if (rig.trouble) {
             leaving.drain();
-            rig.log("i-leaving reports draining");
+            rig.log(leaving.id + " reports draining");
             Rig.sleep(NOTICE_MILLIS);
             leaving.end();
             leaving.unregister();
-            rig.log("i-leaving is gone, " + NOTICE_MILLIS + " ms after its notice");
+            rig.log(leaving.id + " is gone, " + NOTICE_MILLIS + " ms after its notice");
         }
         for (Thread client : clients) {
             client.join();
         }
+        if (responses.values().stream().noneMatch(response -> response.status() == 200)) {
+            return Rig.NOT_RUN;
+        }
         int broken = 0;
         for (Map.Entry<String, Http.Response> received : responses.entrySet()) {
             broken += check(rig, received.getKey(), received.getValue());
--- a/review/standins/Case3.java
+++ b/review/standins/Case3.java
@@ -26,6 +26,7 @@
     private static final long CALM_MILLIS = 8_000;
     private static final long CONFIG_APPLY_MILLIS = 2_000;
     private static final long OBSERVED_MILLIS = 8_000;
+    private static final String DROPPED = "/doku417/";
     private static final String ADDED = "/bira925/";
 
     private record Result(String entry, String id, long sentMillis, long tookMillis, Http.Response response) {
@@ -44,8 +45,9 @@
         Store store = new Store(rig);
         List<String> routes = new ArrayList<>(List.of(
                 Config.route("r-book", Config.BOOK, "non_idempotent", Config.LEDGER, TIMEOUT_MILLIS, 1),
-                Config.route("r-look", Config.LOOK, "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2)));
-        store.put(Store.OPERATOR, "config", Config.of(1, routes, Config.KEY, Config.SECOND_KEY));
+                Config.route("r-look", Config.LOOK, "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2),
+                Config.route("r-old", DROPPED, "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2)));
+        store.put(Store.OPERATOR, "config", Config.of(1, routes, Config.KEY));
         Set<String> ranIds = ConcurrentHashMap.newKeySet();
         for (int i = 0; i < 3; i++) {
             new Worker(rig, store, "i-ledger" + i, Config.LEDGER, "shewa-" + "abc".charAt(i), (worker, request, connection, out) -> {
@@ -70,7 +72,7 @@
             routes.add(Config.route("r-more" + i, "/more" + i + "/", "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2));
         }
         long version = 2;
-        String grown = Config.of(version, routes, Config.KEY, Config.SECOND_KEY);
+        String grown = Config.of(version, routes, Config.KEY);
         store.put(Store.OPERATOR, "config", grown);
         rig.log("version 2 has " + routes.size() + " routes, " + grown.length() + " bytes");
         Rig.sleep(3_000);
@@ -79,25 +81,29 @@
             long stormEnd = rig.millis() + STORM_MILLIS;
             while (rig.trouble && rig.millis() < stormEnd) {
                 version++;
-                store.put(Store.OPERATOR, "config", Config.of(version, routes, Config.KEY, Config.SECOND_KEY));
+                store.put(Store.OPERATOR, "config", Config.of(version, routes, Config.KEY));
                 Rig.sleep(STORM_GAP_MILLIS);
             }
             rig.log("version " + version + " is acknowledged; " + results.size() + " requests so far");
             Rig.sleep(rig.trouble ? STORM_PAUSE_MILLIS : STORM_MILLIS + STORM_PAUSE_MILLIS);
         }
+        if (results.stream().noneMatch(result -> result.response().status() == 200)) {
+            return Rig.NOT_RUN;
+        }
         rig.log("the last storm is over; the store and the machines are left alone");
         Rig.sleep(CALM_MILLIS);
         version++;
-        List<String> fewer = new ArrayList<>(routes.subList(1, routes.size()));
+        List<String> fewer = new ArrayList<>(routes);
+        fewer.removeIf(route -> route.contains("\"r-old\""));
         fewer.add(Config.route("r-new", ADDED, "idempotent", Config.LEDGER, TIMEOUT_MILLIS, 2));
         store.put(Store.OPERATOR, "config", Config.of(version, fewer, Config.KEY));
         long acknowledged = rig.millis();
-        rig.log("version " + version + " is acknowledged; it drops a key and adds route r-new");
+        rig.log("version " + version + " is acknowledged; it drops route r-old and adds route r-new");
         Rig.sleep(CONFIG_APPLY_MILLIS + 500);
         int broken = 0;
         while (rig.millis() < acknowledged + OBSERVED_MILLIS) {
             for (Rig.Entry entry : entries) {
-                broken += check(rig, entry, ranIds, "dropped key", Config.LOOK, Config.SECOND_KEY, acknowledged);
+                broken += check(rig, entry, ranIds, "dropped route", DROPPED, Config.KEY, acknowledged);
                 broken += check(rig, entry, ranIds, "added route", ADDED, Config.KEY, acknowledged);
             }
             Rig.sleep(200);
@@ -145,7 +151,7 @@
             Rig.start("client", () -> {
                 String id = Client.newId();
                 long sentMillis = rig.millis();
-                byte[] request = Client.request("GET", Config.HOST, Config.LOOK + "2f", id, Config.KEY, 5_000, "", "");
+                byte[] request = Client.request("POST", Config.HOST, Config.BOOK + "2f", id, Config.KEY, 5_000, "", "{}");
                 Http.Response response = Client.send(entry.port, request, 5_000);
                 results.add(new Result(entry.name, id, sentMillis, rig.millis() - sentMillis, response));
             });
--- a/review/standins/Case5.java
+++ b/review/standins/Case5.java
@@ -54,20 +54,20 @@
         for (Rig.Entry entry : entries) {
             rig.awaitReady(entry);
         }
-        Rig.sleep(6_000);
-        String cutName = sourceOf(entries);
+        String cutName = sourceOf(rig, entries);
+        Rig.sleep(3_000);
         Rig.Entry observed = entries.stream().filter(entry -> !entry.name.equals(cutName)).findFirst().orElseThrow();
         rig.log("the entry to be cut is " + cutName + ", the one in touch is " + observed.name);
         List<String> first = new ArrayList<>(withOld);
         first.add(Config.route("r-other", "/other/", "idempotent", Config.LEDGER, 5_000, 2));
         store.put(Store.OPERATOR, "config", Config.of(8, first, Config.KEY, Config.SECOND_KEY));
         rig.log("version 8 is acknowledged; it adds a route");
-        Rig.sleep(100);
+        Rig.sleep(200);
         if (rig.trouble) {
             accesses.get(cutName).silent = true;
             rig.log(cutName + " is partitioned from the store");
         }
-        Rig.sleep(50);
+        Rig.sleep(130);
         List<String> second = new ArrayList<>(routes);
         second.add(Config.route("r-new", ADDED, "idempotent", Config.LEDGER, 5_000, 2));
         store.put(Store.OPERATOR, "config", Config.of(9, second, Config.KEY));
@@ -90,7 +90,7 @@
         for (Sent sent : all) {
             long after = sent.sentMillis() - acknowledged;
             boolean old = sent.what().startsWith("dropped") ? ranAt.containsKey(sent.id()) : sent.response().status() == 404;
-            boolean breaks = old && after > CONFIG_APPLY_MILLIS;
+            boolean breaks = old && after > CONFIG_APPLY_MILLIS && sent.what().endsWith("route");
             broken += breaks ? 1 : 0;
             rig.log(sent.what() + " " + sent.id() + " sent " + after + " ms after the acknowledgement: status "
                     + sent.response().status() + (ranAt.containsKey(sent.id()) ? ", run by a worker" : ", not run")
@@ -104,12 +104,14 @@
     }
 
     /** Returns the entry from which the other one reads the operator's topic, by the log of that one. */
-    private static String sourceOf(List<Rig.Entry> entries) throws Exception {
-        for (Rig.Entry entry : entries) {
-            for (String line : entry.lines("FEED_SOURCE_CHANGED")) {
-                Matcher matcher = SOURCE.matcher(line);
-                if (line.contains(Store.OPERATOR) && matcher.find()) {
-                    return matcher.group(1);
+    private static String sourceOf(Rig rig, List<Rig.Entry> entries) throws Exception {
+        for (long end = rig.millis() + 20_000; rig.millis() < end; Rig.sleep(200)) {
+            for (Rig.Entry entry : entries) {
+                for (String line : entry.lines("FEED_SOURCE_CHANGED")) {
+                    Matcher matcher = SOURCE.matcher(line);
+                    if (line.contains(Store.OPERATOR) && matcher.find()) {
+                        return matcher.group(1);
+                    }
                 }
             }
         }
--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -14,7 +14,8 @@
  */
 final class Engine extends Worker {
     private static final long EVENT_MILLIS = 30;
-    private static final long PREFILL_MILLIS = 200;
+    private static final int PREFILL_TOKENS_PER_MILLI = 14;
+    private static final String MODELS = "\"stage\":\"combined\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
     private static final int TOKENS_PER_EVENT = 4;
     private static final double TOKENS_PER_MILLI = 24_000.0 * 1_000 / 8 / 163_840;
     private static final Pattern ID = Pattern.compile("\"id\"\\s*:\\s*\"([^\"]*)\"");
@@ -82,7 +83,7 @@
         rig.log(id + " runs " + attempt + (from == null ? "" : " on from event " + done));
         try {
             if (from == null) {
-                Rig.sleep(PREFILL_MILLIS);
+                Rig.sleep(promptTokens / PREFILL_TOKENS_PER_MILLI);
             }
             StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
             signed(request).forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
@@ -135,6 +136,23 @@
         return super.control(request, connection, out);
     }
 
+    /** Returns the number of running generations. */
+    int running() {
+        return runs.size();
+    }
+
+    @Override
+    String moreOfEntry() {
+        return "," + MODELS;
+    }
+
+    @Override
+    Map<String, String> signed(Http.Request request) {
+        Map<String, String> headers = super.signed(request);
+        headers.put("X-Coriandersill-Weight-Versions", "1");
+        return headers;
+    }
+
     private String report() {
         StringBuilder rows = new StringBuilder();
         int used = 0;
@@ -145,7 +163,7 @@
                         .append("[\"" + run.id + "\"," + run.tokens() + "," + run.made + ",5]");
             }
         }
-        return "{\"stage\":\"combined\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":false,"
+        return "{" + MODELS + ",\"born\":" + born + ",\"busy\":false,"
                 + "\"sequence\":1,\"queued\":0,\"active\":" + runs.size() + ",\"kv_cache_used\":" + used
                 + ",\"kv_cache_total\":34323,\"handles\":" + handles.size() + ",\"state\":\""
                 + (isDraining() ? "draining" : "ready") + "\",\"next\":0,\"runs\":[" + rows + "]}";
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -15,9 +15,11 @@
 /** What the cases share: the record, the entries as processes, free ports, and the end of a script. */
 final class Rig {
     static final String HOST = "127.0.0.1";
-    static final int HELD = 0;
-    static final int BROKEN = 1;
-    static final int NOT_RUN = 2;
+    /** The exit statuses, which run.sh maps to 0, 1 and 2: a JVM that fails exits with 1 too. */
+    static final int HELD = 40;
+
+    static final int BROKEN = 41;
+    static final int NOT_RUN = 42;
     private static final long MAX_RUN_MILLIS = 112_000;
 
     private final long startNanos = System.nanoTime();
@@ -52,7 +54,7 @@
         int status = NOT_RUN;
         try {
             status = script.run(rig);
-        } catch (Exception | AssertionError failed) {
+        } catch (Throwable failed) {
             rig.log("could not run: " + failed);
             failed.printStackTrace();
         }
@@ -60,7 +62,7 @@
     }
 
     private void end(int status) {
-        log("exit status " + status + (status == BROKEN ? ": the rule was broken" : status == HELD ? ": the rule held" : ": the case could not run"));
+        log("end" + (status == BROKEN ? ": the rule was broken" : status == HELD ? ": the rule held" : ": the case could not run"));
         killEntries();
         record.flush();
         Runtime.getRuntime().halt(status);
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -19,6 +19,7 @@
     final String zone;
     final ServerSocket socket;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    final long born = System.currentTimeMillis();
     private volatile String state = "ready";
     private volatile boolean registered;
     private volatile boolean ended;
@@ -66,10 +67,15 @@
                     id,
                     "{\"service\":\"" + service + "\",\"address\":\"" + Rig.HOST + ":" + port() + "\",\"zone\":\"" + zone
                             + "\",\"version\":\"v1\",\"slots\":32,\"state\":\"" + state
-                            + "\",\"cold_remaining_ms\":0,\"sequence\":" + ++sequence + "}");
+                            + "\",\"cold_remaining_ms\":0,\"born\":" + born + moreOfEntry() + ",\"sequence\":" + ++sequence + "}");
         }
     }
 
+    /** Returns further fields of the entry, each after a comma. */
+    String moreOfEntry() {
+        return "";
+    }
+
     /** Reports that the worker is draining; the store has accepted it when this returns. */
     void drain() {
         state = "draining";
