Do not take the end of a stream that was stopped for a move for its completion

The entry had ordered the stop of the generation for a move; the engine closed the stream and was gone before the copy.

Cause: GenerationCall took the end of such a stream, if the move then failed for whatever reason, for the end of the generation. Only the engine's own answer that it runs no such generation, to an order that it had not carried out before, shows that. Evidence: the log of the case has the end of the stream, then event 422 "the engine does not copy: connection broke", then the response complete; streams of the same engines that had not been stopped were broken off.

The same cause on related paths: - the move failed first and the stream's end came after it: nothing remembered the stop, and a living engine (no room, no answer to the order) made the stream complete. GenerationMove now remembers an order that was or may have been carried out. - any end without framing whose upstream could not be asked (silent address) counted as the end of the response, for streams, plain responses and the text of errors. Only a process that still listens, and that is the listed one, shows it now; the check is one method for all three. An upstream that resets a busy connection or serves no report still counts as running. - the product's own sidecar asked nothing: a response without framing whose upstream was gone was passed on as whole. Its streams are not affected, they need their [DONE].

Ruled out: framed streams (a chunked stream that is closed has no last chunk and fails).

Not done: a living engine that closes an unframed stream by itself between two events still looks like the end; its report of running generations is some hundred milliseconds old and cannot tell.

--- /dev/null
+++ b/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
@@ -0,0 +1,136 @@
+package coriandersill.functional;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import coriandersill.admission.FixedLimitAdmission;
+import coriandersill.core.CallId;
+import coriandersill.core.Ran;
+import coriandersill.core.ServiceName;
+import coriandersill.core.VersionName;
+import coriandersill.sidecar.Sidecar;
+import coriandersill.sidecar.SidecarSettings;
+import coriandersill.wire.Message;
+import coriandersill.wire.WireEventLoops;
+import coriandersill.workers.WorkerPool;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against an answer that its upstream did not finish and that a sidecar passes on as a whole one. */
+final class SidecarTruncatedAnswerTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final WireEventLoops eventLoops = WireEventLoops.of(1);
+    private final WorkerPool workers = WorkerPool.of("test", 2, 100);
+    private NetServer upstream;
+    private Sidecar sidecar;
+    private RecordingEntry entry;
+
+    /** Writes the upstream's answer to a request. */
+    private volatile Consumer<NetSocket> answer;
+
+    @BeforeEach
+    void start() {
+        upstream = vertx.createNetServer().connectHandler(socket -> socket.handler(request -> answer.accept(socket)));
+        upstream.listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+        SidecarSettings settings = new SidecarSettings(
+                RecordingEntry.wireSettings("sidecar", "sidecar-1"),
+                "127.0.0.1",
+                0,
+                ServiceName.of("scribe"),
+                VersionName.of("v1"),
+                "127.0.0.1",
+                upstream.actualPort(),
+                Duration.ofSeconds(30));
+        sidecar = Sidecar.builder(settings, vertx, eventLoops, workers)
+                .admission(FixedLimitAdmission.of(4))
+                .build();
+        sidecar.start().join();
+        entry = RecordingEntry.connect(eventLoops, sidecar.port());
+    }
+
+    @AfterEach
+    void stop() {
+        entry.disconnect();
+        sidecar.stop(Duration.ofMillis(100)).join();
+        eventLoops.stop(Duration.ofMillis(100)).join();
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+        workers.stop(Duration.ZERO);
+    }
+
+    /** Guards against an upstream that crashes while it sends a response without a length. */
+    @Test
+    void aResponseWithoutFramingWhoseUpstreamEndsIsNotDelivered() {
+        answer = socket -> {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nhalf of the te");
+            upstream.close().onComplete(closed -> socket.close());
+        };
+
+        Message.CallMessage outcome = call();
+
+        assertThat(outcome, instanceOf(Message.Failed.class));
+        assertThat(((Message.Failed) outcome).ran(), is(Ran.UNKNOWN));
+    }
+
+    @Test
+    void aResponseWithoutFramingIsWholeIfItsUpstreamStillListens() {
+        answer = socket -> {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+            socket.close();
+        };
+
+        assertThat(call(), instanceOf(Message.PlainResponse.class));
+    }
+
+    /** Guards against a head that its upstream did not finish and that counts as that of an empty response. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.",
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nX-A: b",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nX-A: b\r\n\r"
+            })
+    void aResponseWhoseHeadIsTruncatedIsNotDelivered(String head) {
+        answer = socket -> {
+            socket.write(head);
+            socket.close();
+        };
+
+        assertThat(call(), instanceOf(Message.Failed.class));
+    }
+
+    private Message.CallMessage call() {
+        Message.CallAttempt attempt = new Message.CallAttempt(CallId.random(new Random(1)), 1);
+        entry.send(new Message.Dispatch(
+                attempt,
+                new Message.Target("north", 1, "scribe", "v1", "lookups", 0),
+                Duration.ofSeconds(20),
+                1,
+                0,
+                0,
+                new Message.UpstreamRequest(false, "GET", "/lookups/1", List.of(), new byte[0]),
+                Optional.empty()));
+        Await.until(() ->
+                !entry.received().isEmpty() && !(entry.lastMessage() instanceof Message.Accepted));
+        return (Message.CallMessage) entry.lastMessage();
+    }
+}
--- a/relay/src/main/java/coriandersill/relay/EngineControl.java
+++ b/relay/src/main/java/coriandersill/relay/EngineControl.java
@@ -22,7 +22,7 @@
     /** Releases a copy that will not be used. */
     CompletableFuture<Void> release(KvCacheCopy copy);
 
-    /** Determines whether the process of an engine still runs; completes with UNKNOWN if the engine is silent. */
+    /** Determines whether the process of an upstream still runs; completes with UNKNOWN if its address is silent. */
     CompletableFuture<EngineProcessState> processState(Upstream engine);
 
     /** Requests an engine's current load and the time until it shuts down. */
--- a/relay/src/main/java/coriandersill/relay/EngineProcessState.java
+++ b/relay/src/main/java/coriandersill/relay/EngineProcessState.java
@@ -2,10 +2,10 @@
 
 /** Whether the process of an engine still runs, after connections to it broke. */
 public enum EngineProcessState {
-    /** The process that the listing describes still runs. */
+    /** A process still listens on the engine's address, and states no later start than the listing. */
     RUNNING,
     /** The process has ended: nothing listens on its address, or a process that started later does. */
     ENDED,
-    /** The engine did not answer. */
+    /** Nothing answered. */
     UNKNOWN
 }
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -6,6 +6,7 @@
 import coriandersill.core.Ran;
 import coriandersill.events.EventCode;
 import coriandersill.quarantine.CallTraits;
+import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
@@ -260,6 +261,30 @@
         return inService;
     }
 
+    /**
+     * Decides about the end of a response without framing, which only shows that its connection ended, as by a crash:
+     * runs {@code onWhole} if the upstream's process still runs, otherwise passes the failure to {@code onBroken}.
+     */
+    final void endIfProcessRuns(
+            UpstreamSelector.Selection target, Runnable onWhole, Consumer<CallFailure> onBroken) {
+        components
+                .engineControl()
+                .processState(target.upstream())
+                .whenComplete((state, error) -> runOnContext(() -> {
+                    if (state == EngineProcessState.RUNNING) {
+                        onWhole.run();
+                    } else {
+                        onBroken.accept(unprovenEnd("the process of its upstream is " + state));
+                    }
+                }));
+    }
+
+    /** Returns the failure of a response whose end does not show that it is whole. */
+    static CallFailure unprovenEnd(String reason) {
+        return CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the end of the response does not show that it is whole: " + reason)
+                .withRan(Ran.UNKNOWN);
+    }
+
     /** Ends a failed attempt, and retries the call on another upstream if that is safe and permitted. */
     final void attemptFailed(UpstreamSelector.Selection target, CallFailure failure) {
         attemptFailed(target, failure, null, null);
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -4,7 +4,6 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.events.EventCode;
-import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
 import coriandersill.routing.CallResult;
@@ -48,6 +47,9 @@
     private BodyBuffer currentErrorBody;
     private boolean recoveryAttempted;
 
+    /** The engine that may have stopped the generation for a move that failed; null if there is none. */
+    private UpstreamSelector.Selection stoppedAt;
+
     /** Runs if the current move fails; set when the stream ends or breaks during the move, otherwise null. */
     private Runnable onMoveFailed;
 
@@ -171,9 +173,17 @@
         components.vertx().setTimer(CONTINUATION_TIMEOUT_MILLIS, timer -> listener.failIfNoHead());
     }
 
-    /** Called when a move has failed: the generation continues on its engine or has ended there. */
-    void moveFailed() {
+    /**
+     * Called when a move has failed: the generation continues on its engine or has ended there.
+     *
+     * @param source the engine that the generation was to leave
+     * @param mayHaveStopped whether that engine may have stopped the generation for the move
+     */
+    void moveFailed(UpstreamSelector.Selection source, boolean mayHaveStopped) {
         move = null;
+        if (mayHaveStopped) {
+            stoppedAt = source;
+        }
         Runnable pending = onMoveFailed;
         onMoveFailed = null;
         if (pending != null && !hasEnded()) {
@@ -392,44 +402,32 @@
 
         @Override
         public void ended() {
-            if (failure != null) {
-                handleErrorResponse();
-            } else if (move != null && move.stopping() && !head.framed()) {
-                // Without framing, the end may only mean that the source has stopped the generation for the move. The
-                // response is complete if the move then fails.
+            if (failure != null && head.framed()) {
+                handleErrorResponse(true);
+            } else if (failure != null) {
+                endIfProcessRuns(target, () -> handleErrorResponse(true), unproven -> handleErrorResponse(false));
+            } else if (head.framed()) {
+                complete();
+            } else if (copy == null && move != null && move.stopping()) {
+                // The end may only mean that the source has stopped the generation for the move.
                 exchange = null;
-                onMoveFailed = this::complete;
-            } else if (!head.framed()) {
-                endUnframed();
+                onMoveFailed = this::endUnframed;
             } else {
-                complete();
+                endUnframed();
             }
         }
 
         /**
-         * Ends a stream without framing. One that ends inside an event, or because its engine's process ended, was
-         * broken off.
+         * Ends a stream without framing. It was broken off if it ends inside an event, if its engine may have stopped
+         * it for a move, or if its engine's process has ended or does not answer.
          */
         private void endUnframed() {
-            if (splitter.remainder().length() > 0 || eventsOfEngine == 0) {
-                failed(brokenOff());
+            boolean stopped = stoppedAt != null && stoppedAt.equals(target);
+            if (splitter.remainder().length() > 0 || eventsOfEngine == 0 || stopped) {
+                failed(unprovenEnd(stopped ? "its engine may have stopped it for a move" : "it ends without a complete event"));
                 return;
             }
-            components
-                    .engineControl()
-                    .processState(target.upstream())
-                    .whenComplete((state, error) -> runOnContext(() -> {
-                        if (state == EngineProcessState.ENDED) {
-                            failed(brokenOff());
-                        } else {
-                            complete();
-                        }
-                    }));
-        }
-
-        private CallFailure brokenOff() {
-            return CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the stream ended inside an event or with its engine")
-                    .withRan(Ran.UNKNOWN);
+            endIfProcessRuns(target, this::complete, this::failed);
         }
 
         private void complete() {
@@ -467,7 +465,7 @@
             finish(false);
         }
 
-        private void handleErrorResponse() {
+        private void handleErrorResponse(boolean whole) {
             exchange = null;
             components.generations().remove(target.upstream().instance(), GenerationCall.this);
             if (copy != null && move != null) {
@@ -475,13 +473,14 @@
                 return;
             }
             errorBody.release();
-            boolean forwardable = !headSent && ResponseValidator.isForwardable(plan, head);
+            boolean forwardable = whole && !headSent && ResponseValidator.isForwardable(plan, head);
             attemptFailed(target, failure, forwardable ? head : null, errorBody.bytes());
         }
 
         @Override
         public void failed(CallFailure streamFailure) {
-            boolean stoppedForMove = move != null && move.stopping();
+            boolean stoppedForMove =
+                    move != null ? move.mayHaveStopped() : stoppedAt != null && stoppedAt.equals(target);
             if (streamFailure.kind() != ErrorKind.UNAVAILABLE && !stoppedForMove) {
                 components.crashDetector().connectionBroke(target.upstream(), brokenGeneration());
             }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -37,6 +37,10 @@
     private final Set<InstanceId> excluded = new HashSet<>();
     private UpstreamSelector.Selection target;
     private boolean stopping;
+
+    /** Whether the source may have carried out an order to stop: it confirmed one, or did not answer it. */
+    private boolean stopUnrefuted;
+
     private boolean streamBroken;
     private boolean ended;
     private long stoppedAtNanos;
@@ -76,6 +80,14 @@
         return stopping;
     }
 
+    /**
+     * Returns whether the source may have stopped the generation, so that the end of its stream does not show that the
+     * generation is complete.
+     */
+    boolean mayHaveStopped() {
+        return stopping || stopUnrefuted;
+    }
+
     /** Called when the stream from the source broke: only the state held by the engine can still be moved. */
     void streamBroken() {
         streamBroken = true;
@@ -179,7 +191,7 @@
                         return;
                     }
                     if (error != null) {
-                        handleCopyFailure(CallFailure.from(error));
+                        handleCopyFailure(CallFailure.from(error), stop);
                     } else {
                         handleCopyResult(
                                 result,
@@ -204,6 +216,9 @@
                         "outcome", result.status(),
                         "stopped", stop,
                         "took_ms", took.toMillis()));
+        if (stop && (result.status() == CopyResult.Status.COPIED || result.status() == CopyResult.Status.NO_ROOM)) {
+            stopUnrefuted = true;
+        }
         if (result.status() == CopyResult.Status.COPIED && stop && copy != null) {
             call.continueOn(target, copy);
         } else if (result.status() == CopyResult.Status.COPIED) {
@@ -219,7 +234,7 @@
 
     /** Handles the answer that the source runs no such generation: it has not started, or has ended by itself. */
     private void handleNotRunning(boolean stop) {
-        if (stop) {
+        if (stop && !stopUnrefuted) {
             stopping = false;
         }
         if (call.hasStarted() || streamBroken) {
@@ -243,7 +258,9 @@
         }
     }
 
-    private void handleCopyFailure(CallFailure failure) {
+    private void handleCopyFailure(CallFailure failure, boolean stop) {
+        // An order that the source may have read can still be carried out.
+        stopUnrefuted |= stop && failure.kind() != ErrorKind.UNAVAILABLE;
         if (failure.kind() == ErrorKind.DEADLINE_EXCEEDED && !stopping) {
             recordStepFailure("the copy timed out; stopping the generation before the next copy");
             requestCopy(true);
@@ -259,7 +276,7 @@
             releaseTarget();
             releaseCopy();
             components.metrics().increment("relay.generation.moves_failed");
-            call.moveFailed();
+            call.moveFailed(source, mayHaveStopped());
         }
     }
 
@@ -267,7 +284,7 @@
         call.trace.record(
                 EventCode.GENERATION_MOVE_HINDERED,
                 call.elapsedMillis(),
-                Map.of("engine", source.upstream().instance(), "reason", reason, "stopped", stopping));
+                Map.of("engine", source.upstream().instance(), "reason", reason, "stopped", mayHaveStopped()));
     }
 
     private void releaseTarget() {
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -3,7 +3,6 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
-import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.ResponseHead;
 import coriandersill.routing.CallResult;
 import io.vertx.core.buffer.Buffer;
@@ -92,18 +91,7 @@
                 complete();
                 return;
             }
-            // Without framing, a crash of the upstream looks like the end of the response.
-            components
-                    .engineControl()
-                    .processState(target.upstream())
-                    .whenComplete((state, error) -> runOnContext(() -> {
-                        if (state == EngineProcessState.ENDED) {
-                            failed(CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the response ended with its upstream")
-                                    .withRan(Ran.UNKNOWN));
-                        } else {
-                            complete();
-                        }
-                    }));
+            endIfProcessRuns(target, this::complete, this::failed);
         }
 
         private void complete() {
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -9,6 +9,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,27 +31,30 @@
     private final CallDispatcher dispatcher;
     private final SidecarContext sidecar;
     private final OpenCall call;
+    private final UpstreamClient upstreamClient;
     private final Context context;
     private final long startedNanos;
     private HttpClientRequest request;
     private boolean ended;
 
-    private PlainCall(CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call) {
+    private PlainCall(
+            CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call, UpstreamClient upstreamClient) {
         this.dispatcher = dispatcher;
         this.sidecar = sidecar;
         this.call = call;
+        this.upstreamClient = upstreamClient;
         this.context = sidecar.vertx().getOrCreateContext();
         this.startedNanos = sidecar.clock().nanos();
     }
 
     static PlainCall start(
             CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call, UpstreamClient upstreamClient) {
-        PlainCall plainCall = new PlainCall(dispatcher, sidecar, call);
-        plainCall.context.runOnContext(ignored -> plainCall.openRequest(upstreamClient));
+        PlainCall plainCall = new PlainCall(dispatcher, sidecar, call, upstreamClient);
+        plainCall.context.runOnContext(ignored -> plainCall.openRequest());
         return plainCall;
     }
 
-    private void openRequest(UpstreamClient upstreamClient) {
+    private void openRequest() {
         upstreamClient.open(call.dispatch()).onComplete(opened -> {
             if (opened.failed()) {
                 String text = "upstream does not accept connections: "
@@ -87,7 +91,24 @@
                 body.appendBuffer(part);
             }
         });
-        response.endHandler(end -> onResponse(response, body));
+        response.endHandler(end -> onBodyEnd(response, body));
+    }
+
+    /** Without framing, the end of the body only shows that its connection ended, as by a crash of the upstream. */
+    private void onBodyEnd(HttpClientResponse response, Buffer body) {
+        boolean framed = response.headers().contains(HttpHeaders.CONTENT_LENGTH)
+                || response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+        if (framed) {
+            onResponse(response, body);
+            return;
+        }
+        upstreamClient.listens().onSuccess(listens -> {
+            if (listens) {
+                onResponse(response, body);
+            } else {
+                onConnectionLost(new IllegalStateException("nothing listens after a response without framing"));
+            }
+        });
     }
 
     private void onResponse(HttpClientResponse response, Buffer body) {
