Answer the calls that a stopping entry cannot end, and take only those that probably end

Cause: RelayServer took a generation if 1.5 s and 15 ms a token fit before the stop, and knew nothing of the queue of its engine; and at the end of the grace period it closed all connections, with whatever was open. So did any call that still waited, also a plain one and one taken before the stop.

Change: - 250 ms before the end the calls that have no answer yet get one: "not run" (503, come back at once) if no upstream has had them, otherwise 502, from which callers may repeat what may be repeated. Metric relay.stop.answered. - DrainAdmission (routing, pure): a call is taken if its time limit ends before the stop, or if 1.5 times the slowest call of its route in the last 10 s, those that still wait included, fits; RecentDurations and OpenCalls keep these. Another entry serves the others at once, so that a refusal costs a caller some milliseconds, a cut the whole call. - 2.5 s after SIGTERM, when new connections go elsewhere, connections without a call are closed, so that late calls are few.

Plain calls that arrive late end by their time limit before the stop. The product's own entry refuses all calls while it stops and answers those that are open at the end (EntryDrainTest, 40 of 40 before and after); but it told that they had run, which it cannot know: now "unknown", or "no" for those that no sidecar has.

Open: a stream that has begun and does not end is still cut at the end of the grace period.

--- a/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
@@ -428,7 +428,8 @@
         context.runOnContext(ignored -> {
             if (!ended) {
                 cancelAtSidecar();
-                fail(interrupted("the entry stops"));
+                Ran ran = nextIndex > 0 ? Ran.YES : selection.isPresent() ? Ran.UNKNOWN : Ran.NO;
+                fail(interrupted("the entry stops").withRan(ran));
             }
         });
     }
--- a/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
@@ -129,8 +129,7 @@
                 0,
                 new Message.UpstreamRequest(false, "GET", "/lookups/1", List.of(), new byte[0]),
                 Optional.empty()));
-        Await.until(() ->
-                !entry.received().isEmpty() && !(entry.lastMessage() instanceof Message.Accepted));
+        Await.until(() -> !entry.received().isEmpty() && !(entry.lastMessage() instanceof Message.Accepted));
         return (Message.CallMessage) entry.lastMessage();
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -47,6 +47,9 @@
     /** How long before its deadline a call fails, so that the response reaches the caller in time. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(10);
 
+    /** The Retry-After of calls refused because the entry stops; short because another entry can take them at once. */
+    static final Duration RETRY_AFTER_STOP = Duration.ofMillis(10);
+
     final RelayComponents components;
     final CallPlan plan;
     final Buffer body;
@@ -99,6 +102,7 @@
 
     /** Starts the call. */
     final void start() {
+        components.openCalls().add(this);
         retryPolicy.callStarted();
         caller.onDisconnect(this::callerDisconnected);
         long millis = Math.max(1, timeLeft().minus(RESPONSE_MARGIN).toMillis());
@@ -265,8 +269,7 @@
      * Decides about the end of a response without framing, which only shows that its connection ended, as by a crash:
      * runs {@code onWhole} if the upstream's process still runs, otherwise passes the failure to {@code onBroken}.
      */
-    final void endIfProcessRuns(
-            UpstreamSelector.Selection target, Runnable onWhole, Consumer<CallFailure> onBroken) {
+    final void endIfProcessRuns(UpstreamSelector.Selection target, Runnable onWhole, Consumer<CallFailure> onBroken) {
         components
                 .engineControl()
                 .processState(target.upstream())
@@ -281,7 +284,8 @@
 
     /** Returns the failure of a response whose end does not show that it is whole. */
     static CallFailure unprovenEnd(String reason) {
-        return CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, "the end of the response does not show that it is whole: " + reason)
+        return CallFailure.of(
+                        ErrorKind.OUTCOME_UNKNOWN, "the end of the response does not show that it is whole: " + reason)
                 .withRan(Ran.UNKNOWN);
     }
 
@@ -440,6 +444,7 @@
     /** Ends the call after its response has been sent or its caller has disconnected. */
     final void finish(boolean failed) {
         ended = true;
+        components.openCalls().remove(this);
         components.vertx().cancelTimer(deadlineTimer);
         releaseResources();
         trace.finish(failed);
@@ -466,14 +471,31 @@
         if (ended) {
             return;
         }
-        boolean notRun = exchange == null && ranBefore == Ran.NO;
         if (exchange != null) {
             samples.failed(selection.upstream());
         }
-        cancelExchange(ErrorKind.DEADLINE_EXCEEDED);
-        fail(CallFailure.of(
-                        ErrorKind.DEADLINE_EXCEEDED,
-                        "not answered within " + plan.timeLimit().toMillis() + " ms")
-                .withRan(notRun ? Ran.NO : Ran.UNKNOWN));
+        giveUp(CallFailure.of(
+                ErrorKind.DEADLINE_EXCEEDED,
+                "not answered within " + plan.timeLimit().toMillis() + " ms"));
+    }
+
+    /**
+     * Answers the call because the entry stops, unless a part of its response has been sent; may be called from any
+     * thread.
+     */
+    final void answerBeforeStop() {
+        runOnContext(() -> {
+            if (!caller.hasBegun()) {
+                components.metrics().increment("relay.stop.answered");
+                giveUp(CallFailure.of(ErrorKind.DRAINING, "this entry stops").withRetryAfter(RETRY_AFTER_STOP));
+            }
+        });
+    }
+
+    /** Fails the call wherever it is; states that it has not run only if no upstream has it or had it. */
+    private void giveUp(CallFailure failure) {
+        boolean notRun = exchange == null && ranBefore == Ran.NO;
+        cancelExchange(failure.kind());
+        fail(failure.withRan(notRun ? Ran.NO : Ran.UNKNOWN));
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/CallerConnection.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallerConnection.java
@@ -54,6 +54,11 @@
         return closed;
     }
 
+    /** Returns whether a part of the response has been sent. */
+    boolean hasBegun() {
+        return response.headWritten();
+    }
+
     /** Sets a further action that runs once when the response is complete or the caller has disconnected. */
     void onEnd(Runnable action) {
         onRelease = action;
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -424,7 +424,8 @@
         private void endUnframed() {
             boolean stopped = stoppedAt != null && stoppedAt.equals(target);
             if (splitter.remainder().length() > 0 || eventsOfEngine == 0 || stopped) {
-                failed(unprovenEnd(stopped ? "its engine may have stopped it for a move" : "it ends without a complete event"));
+                failed(unprovenEnd(
+                        stopped ? "its engine may have stopped it for a move" : "it ends without a complete event"));
                 return;
             }
             endIfProcessRuns(target, this::complete, this::failed);
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -130,6 +130,7 @@
                 dependencies.engineControl(),
                 createRetryPolicies(dependencies),
                 generations,
+                new OpenCalls(clock),
                 new BodyMemory(MAX_BODY_MEMORY_BYTES),
                 metrics,
                 clock,
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -33,6 +33,7 @@
         EngineControl engineControl,
         RetryPolicies retryPolicies,
         GenerationTable generations,
+        OpenCalls openCalls,
         BodyMemory bodyMemory,
         RelayMetrics metrics,
         MonotonicClock clock,
--- a/relay/src/main/java/coriandersill/relay/internal/RelayServer.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayServer.java
@@ -5,13 +5,17 @@
 import coriandersill.core.ManagedService;
 import coriandersill.events.EventCode;
 import coriandersill.relay.CallRequest;
+import coriandersill.routing.DrainAdmission;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -30,20 +34,17 @@
     /** The minimum time that a stopping server keeps listening, until the load balancer and callers have noticed. */
     private static final Duration MIN_DRAIN_TIME = Duration.ofMillis(2_500);
 
-    /** The time that a busy engine takes to prefill a long prompt. */
-    private static final Duration PREFILL_TIME = Duration.ofMillis(1_500);
+    /** How long before its end a stopping server answers the calls that have no answer yet. */
+    private static final Duration FINAL_ANSWER_TIME = Duration.ofMillis(250);
 
-    /** The time that a busy engine takes for an output token. */
-    private static final Duration TIME_PER_OUTPUT_TOKEN = Duration.ofMillis(15);
-
-    /** The Retry-After of calls rejected while draining; short because another entry can take the call at once. */
-    private static final Duration DRAINING_RETRY_AFTER = Duration.ofMillis(10);
+    private static final int MAX_LOGGED_CALLS = 20;
 
     /** The time left assumed for rejected calls, whose deadline may be unknown; only bounds the Retry-After header. */
     private static final Duration REJECTED_CALL_TIME_LEFT = Duration.ofSeconds(1);
 
     private final RelayComponents components;
     private final AtomicInteger openCalls = new AtomicInteger();
+    private final CallerConnections connections = new CallerConnections();
     private HttpServer server;
     private volatile long stopAtNanos;
     private volatile boolean stopping;
@@ -63,7 +64,11 @@
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setIdleTimeout(0);
-        server = components.vertx().createHttpServer(options).requestHandler(this::handleRequest);
+        server = components
+                .vertx()
+                .createHttpServer(options)
+                .connectionHandler(connections::add)
+                .requestHandler(this::handleRequest);
         return server.listen().<Void>mapEmpty().toCompletionStage().toCompletableFuture();
     }
 
@@ -88,23 +93,46 @@
         stopAtNanos = stopStartedAtNanos + grace.toNanos();
         stopping = true;
         components.vertx().setPeriodic(DRAIN_POLL_INTERVAL_MILLIS, timer -> {
-            long elapsedNanos = components.clock().nanos() - stopStartedAtNanos;
-            boolean idle = openCalls.get() == 0 && elapsedNanos > MIN_DRAIN_TIME.toNanos();
-            if (idle || elapsedNanos > grace.toNanos()) {
-                components.vertx().cancelTimer(timer);
-                if (!idle) {
-                    components.events().record(EventCode.DRAIN_DEADLINE, Map.of("open", openCalls.get()));
-                }
-                server.close().onComplete(closed -> drained.complete(null));
+            Duration elapsed = Duration.ofNanos(components.clock().nanos() - stopStartedAtNanos);
+            if (continueDraining(elapsed, grace)) {
+                return;
             }
+            components.vertx().cancelTimer(timer);
+            server.close().onComplete(closed -> drained.complete(null));
         });
         return drained;
     }
 
+    /** Takes the steps of a stop that are due {@code elapsed} after its start; returns whether there are more. */
+    private boolean continueDraining(Duration elapsed, Duration grace) {
+        if (elapsed.compareTo(grace) > 0) {
+            if (openCalls.get() > 0) {
+                List<String> cut = components.openCalls().all().stream()
+                        .map(call -> call.plan.request().id())
+                        .limit(MAX_LOGGED_CALLS)
+                        .toList();
+                components.events().record(EventCode.DRAIN_DEADLINE, Map.of("open", openCalls.get(), "calls", cut));
+            }
+            return false;
+        }
+        if (elapsed.compareTo(grace.minus(FINAL_ANSWER_TIME)) > 0) {
+            components.openCalls().all().forEach(AbstractCall::answerBeforeStop);
+        }
+        if (elapsed.compareTo(MIN_DRAIN_TIME) > 0) {
+            connections.closeIdle();
+            return openCalls.get() > 0;
+        }
+        return true;
+    }
+
     private void handleRequest(HttpServerRequest request) {
         long arrivedAtNanos = components.clock().nanos();
         openCalls.incrementAndGet();
-        CallerConnection caller = new CallerConnection(request, () -> stopping, openCalls::decrementAndGet);
+        connections.callStarted(request.connection());
+        CallerConnection caller = new CallerConnection(request, () -> stopping, () -> {
+            openCalls.decrementAndGet();
+            connections.callEnded(request.connection());
+        });
         CallRequest decoded;
         try {
             decoded = components.codec().decode(request);
@@ -156,7 +184,7 @@
                     caller,
                     plan.request().id(),
                     CallFailure.of(ErrorKind.DRAINING, "this entry stops before the call would end")
-                            .withRetryAfter(DRAINING_RETRY_AFTER));
+                            .withRetryAfter(AbstractCall.RETRY_AFTER_STOP));
             return;
         }
         CallTrace trace = new CallTrace(components.events(), plan.request().id());
@@ -182,13 +210,15 @@
 
     /** Returns whether a call that arrives while the entry is stopping is likely to end before the stop. */
     private boolean canEndBeforeStop(CallPlan plan) {
-        long leftNanos = stopAtNanos - components.clock().nanos();
-        long neededNanos = plan.request()
+        Duration left =
+                Duration.ofNanos(stopAtNanos - components.clock().nanos()).minus(FINAL_ANSWER_TIME);
+        OptionalInt maxOutputTokens = plan.request()
                 .prompt()
-                .map(prompt -> PREFILL_TIME.plus(TIME_PER_OUTPUT_TOKEN.multipliedBy(prompt.maxOutputTokens())))
-                .orElse(plan.timeLimit())
-                .toNanos();
-        return Math.min(neededNanos, plan.timeLimit().toNanos()) < leftNanos;
+                .map(prompt -> OptionalInt.of(prompt.maxOutputTokens()))
+                .orElse(OptionalInt.empty());
+        Optional<Duration> slowest = components.openCalls().slowest(plan.route().name());
+        return DrainAdmission.accepts(
+                new DrainAdmission.DrainingCall(plan.timeLimit(), maxOutputTokens, slowest), left);
     }
 
     private void rejectCall(CallerConnection caller, String id, CallFailure failure) {
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -37,8 +37,7 @@
     private HttpClientRequest request;
     private boolean ended;
 
-    private PlainCall(
-            CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call, UpstreamClient upstreamClient) {
+    private PlainCall(CallDispatcher dispatcher, SidecarContext sidecar, OpenCall call, UpstreamClient upstreamClient) {
         this.dispatcher = dispatcher;
         this.sidecar = sidecar;
         this.call = call;
