Keep following a topic after a record of another writer, or any error in a step

Cause: ViewUpdater caught the error of ListingView.put and then called putUnreadable outside any guard, which threw for the same key. That is the last link only: each callback of TopicFollower ends with scheduling the next read, so that any error in one ends the reading for good. Evidence: in the case's log the LIBRARY line "Unhandled exception ... instance: expected 1 to 200 letters" follows event 205, and no event of that topic comes after it.

After an error that is not the record's, such as out of memory, the record is read again. - the product's LogFollower: a stack overflow in a handler skips its record, any other error reads the same offset again; LeaseService schedules its next check even if a listener throws (by reading, no test).

Ruled out: feeds (a read that fails has a time limit of its own), periodic timers (Vert.x goes on with them), SnapshotPublisher (schedules in a finally block), RolloutService (schedules first).

--- a/core/src/main/java/coriandersill/core/InstanceId.java
+++ b/core/src/main/java/coriandersill/core/InstanceId.java
@@ -1,6 +1,7 @@
 package coriandersill.core;
 
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * The identifier of an instance, which is an entry, a sidecar or an upstream; unique among running instances.
@@ -25,6 +26,11 @@
         return new InstanceId(Objects.requireNonNull(value, "value"));
     }
 
+    /** Returns the identifier with the given text; empty if the text, which may be null, is none. */
+    public static Optional<InstanceId> parse(String value) {
+        return Names.isValid(value) ? Optional.of(new InstanceId(value)) : Optional.empty();
+    }
+
     @Override
     public int compareTo(InstanceId other) {
         return value.compareTo(other.value);
--- a/core/src/main/java/coriandersill/core/Names.java
+++ b/core/src/main/java/coriandersill/core/Names.java
@@ -8,8 +8,12 @@
 
     private Names() {}
 
+    static boolean isValid(String value) {
+        return value != null && ALLOWED.matcher(value).matches();
+    }
+
     static void check(String kind, String value) {
-        if (value == null || !ALLOWED.matcher(value).matches()) {
+        if (!isValid(value)) {
             throw new IllegalArgumentException(
                     kind + ": expected 1 to 200 letters, digits, '.', '_', '-' or ':', found \"" + value + "\"");
         }
--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -24,6 +24,8 @@
     SETTINGS_READ(105, Level.INFO, "settings read"),
     /** The settings are invalid: the daemon does not start or, on a reload, keeps its previous settings. */
     SETTINGS_WRONG(106, Level.ERROR, "settings are invalid"),
+    /** A step of a loop, such as a read of a topic, failed by an unexpected error; the loop continues. */
+    LOOP_STEP_FAILED(107, Level.ERROR, "step of a loop failed"),
     /** A change set has taken effect in this process. */
     CONFIGURATION_APPLIED(200, Level.INFO, "configuration applied"),
     /** A change set was rejected when it was applied to the current configuration. */
--- a/leases-log/src/main/java/coriandersill/leases/log/LeaseService.java
+++ b/leases-log/src/main/java/coriandersill/leases/log/LeaseService.java
@@ -148,14 +148,17 @@
         if (stopped) {
             return;
         }
-        if (!started.isDone()) {
-            // Repeated at every check until a marker is read back, because an append may be lost.
-            CompletableFuture<Long> unused = appender.append(marker, AppendMode.AT_MOST_ONCE);
+        try {
+            if (!started.isDone()) {
+                // Repeated at every check until a marker is read back, because an append may be lost.
+                CompletableFuture<Long> unused = appender.append(marker, AppendMode.AT_MOST_ONCE);
+            }
+            campaigns.removeExpired().forEach(this::onLeaseLost);
+            campaigns.names().forEach(this::acquireOrRenew);
+        } finally {
+            long jitter = random.nextLong(checkInterval.toMillis() / 4 + 1);
+            scheduler.schedule(checkInterval.minusMillis(jitter), this::checkLeases);
         }
-        campaigns.removeExpired().forEach(this::onLeaseLost);
-        campaigns.names().forEach(this::acquireOrRenew);
-        long jitter = random.nextLong(checkInterval.toMillis() / 4 + 1);
-        scheduler.schedule(checkInterval.minusMillis(jitter), this::checkLeases);
     }
 
     private void acquireOrRenew(LeaseName name) {
--- a/shared-log/src/main/java/coriandersill/sharedlog/LogFollower.java
+++ b/shared-log/src/main/java/coriandersill/sharedlog/LogFollower.java
@@ -118,8 +118,23 @@
 
     private void read() {
         if (running) {
-            CompletableFuture<LogPage> unused = log.read(stream, nextOffset, maxRecordsPerRead)
-                    .whenComplete((page, error) -> dispatch(() -> onResponse(page, error)));
+            runStep(() -> {
+                CompletableFuture<LogPage> unused = log.read(stream, nextOffset, maxRecordsPerRead)
+                        .whenComplete((page, error) -> dispatch(() -> runStep(() -> onResponse(page, error))));
+            });
+        }
+    }
+
+    /** Runs a step, which schedules the next one; after an unexpected error the same offset is read again. */
+    private void runStep(Runnable step) {
+        try {
+            step.run();
+        } catch (Throwable error) {
+            try {
+                notices.accept(new LogNotice.Unavailable(CallFailure.from(error)));
+            } finally {
+                retryLater();
+            }
         }
     }
 
@@ -187,7 +202,7 @@
         }
         try {
             handler.handle(record);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             notices.accept(new LogNotice.HandlerFailed(record.offset(), CallFailure.from(e)));
         }
         nextOffset = record.offset() + 1;
--- a/standins/src/test/java/coriandersill/standins/platform/LogFollowerTest.java
+++ b/standins/src/test/java/coriandersill/standins/platform/LogFollowerTest.java
@@ -52,6 +52,49 @@
         assertThat(notices, is(empty()));
     }
 
+    /** Guards against an error in the handler of a record, after which no record is read any more. */
+    @Test
+    void aStackOverflowInTheHandlerSkipsItsRecordOnly() {
+        LogFollower failing = LogFollower.builder(log, STREAM, scheduler)
+                .handler(record -> {
+                    if (record.offset() == 1) {
+                        throw new StackOverflowError();
+                    }
+                    handled.add("" + record.offset());
+                })
+                .notices(notices::add)
+                .clock(clock)
+                .build();
+        append("a", "b", "c");
+        assertThat(failing.start().isDone(), is(true));
+
+        assertThat(handled, contains("0", "2"));
+        assertThat(notices, contains(instanceOf(LogNotice.HandlerFailed.class)));
+    }
+
+    /** Guards against an error beside the handler, after which no record is read any more. */
+    @Test
+    void anErrorInTheConsumerOfNoticesDoesNotEndTheReading() {
+        boolean[] failed = new boolean[1];
+        LogFollower failing = LogFollower.builder(log, STREAM, scheduler)
+                .handler(record -> handled.add("" + record.offset()))
+                .notices(notice -> {
+                    if (notice instanceof LogNotice.Gap && !failed[0]) {
+                        failed[0] = true;
+                        throw new IllegalStateException("cannot report");
+                    }
+                })
+                .clock(clock)
+                .build();
+        assertThat(failing.start().isDone(), is(true));
+        log.faults().skipOffsets(STREAM, 3);
+        append("a");
+        scheduler.advance(Duration.ofSeconds(10));
+        append("b");
+
+        assertThat(handled, contains("3", "4"));
+    }
+
     @Test
     void aGapIsReportedAndTheRecordsAfterItAreHandled() {
         assertThat(follower.start().isDone(), is(true));
