Obey what upstreams say of themselves: that they leave, and that they want no request for a time

Nothing read either header.

Leaving takes the same path as a listed departure. - a response that names another call, or a 421, proves nothing. If all of a service are quiet for longer than a call may wait, it is refused at once, "not run", with a Retry-After at the earliest end. Entries end a quiet time up to a quarter of it (1 s at most) later, at random.

Events 507 and 508 say by whose word, since when, until when; metrics relay.upstream.said_leaving and .quiet_times.

--- a/daemon/src/main/java/coriandersill/daemon/Daemon.java
+++ b/daemon/src/main/java/coriandersill/daemon/Daemon.java
@@ -18,6 +18,7 @@
  */
 public final class Daemon implements ManagedService {
     private final DaemonRuntime runtime;
+    private CompletableFuture<Void> stopResult;
 
     private Daemon(DaemonSettings settings) {
         this.runtime = DaemonRuntime.of(settings);
@@ -53,8 +54,12 @@
         return runtime.start();
     }
 
+    /** Stops the daemon; a further call returns the result of the first. */
     @Override
-    public CompletableFuture<Void> stop(Duration grace) {
-        return runtime.stop(grace);
+    public synchronized CompletableFuture<Void> stop(Duration grace) {
+        if (stopResult == null) {
+            stopResult = runtime.stop(grace);
+        }
+        return stopResult;
     }
 }
--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -120,6 +120,10 @@
     ENGINE_SLOW(505, Level.WARNING, "engine is slow"),
     /** Streams at an engine that was slow are as fast as usual. */
     ENGINE_USUAL(506, Level.INFO, "engine is no longer slow"),
+    /** An upstream said in a response that it leaves; it gets no new work, whatever its listing says. */
+    UPSTREAM_SAID_LEAVING(507, Level.INFO, "upstream says that it leaves"),
+    /** An upstream refused a request and asked for no further one for a time, which is obeyed. */
+    UPSTREAM_QUIET(508, Level.INFO, "upstream asks for no requests"),
     /** The state of a rollout has changed. */
     ROLLOUT_CHANGED(600, Level.INFO, "rollout state changed"),
     /** A version was judged to be bad and receives no new work from this instance. */
--- a/functional/src/test/java/coriandersill/functional/EntryDrainTest.java
+++ b/functional/src/test/java/coriandersill/functional/EntryDrainTest.java
@@ -49,7 +49,7 @@
         assertThat(statuses, everyItem(is(greaterThanOrEqualTo(500))));
         assertThat("an upstream has it, and may or may not run it", ran, everyItem(is("unknown")));
         caller.close();
-        // The first entry has been stopped before, which a second stop reports.
-        cluster.stop(Duration.ofSeconds(1)).handle((stopped, error) -> null).join();
+        // The second stop of the first entry joins its first one.
+        cluster.stop(Duration.ofSeconds(1)).join();
     }
 }
--- a/relay/src/main/java/coriandersill/relay/EngineControl.java
+++ b/relay/src/main/java/coriandersill/relay/EngineControl.java
@@ -22,8 +22,13 @@
     /** Releases a copy that will not be used. */
     CompletableFuture<Void> release(KvCacheCopy copy);
 
-    /** Determines whether the process of an upstream still runs; completes with UNKNOWN if its address is silent. */
-    CompletableFuture<EngineProcessState> processState(Upstream engine);
+    /**
+     * Determines whether the process of an upstream still runs; completes with UNKNOWN if its address is silent.
+     *
+     * @param mayRequest whether a request may be sent; otherwise only a connection is opened, which cannot tell a
+     *     process that started later
+     */
+    CompletableFuture<EngineProcessState> processState(Upstream engine, boolean mayRequest);
 
     /** Requests an engine's current load and the time until it shuts down. */
     CompletableFuture<EngineReport> report(Upstream engine);
--- a/relay/src/main/java/coriandersill/relay/ResponseHead.java
+++ b/relay/src/main/java/coriandersill/relay/ResponseHead.java
@@ -1,6 +1,8 @@
 package coriandersill.relay;
 
 import io.vertx.core.MultiMap;
+import java.time.Duration;
+import java.util.Optional;
 
 /**
  * The decoded status and headers of an upstream's response.
@@ -11,6 +13,8 @@
  * @param notExecuted whether the response states that the request was not executed
  * @param contentEncoded whether the body has a content encoding, which is never requested
  * @param framed whether the end of the body can be distinguished from a dropped connection
+ * @param leaving whether the upstream says that it leaves
+ * @param quietTime how long the upstream wants no request, if it says so; invalid values are none
  * @param load what the response says of the upstream's load
  * @param forwardedHeaders the headers that are forwarded to the caller
  */
@@ -21,6 +25,8 @@
         boolean notExecuted,
         boolean contentEncoded,
         boolean framed,
+        boolean leaving,
+        Optional<Duration> quietTime,
         ClaimedLoad load,
         MultiMap forwardedHeaders) {
     private static final int FIRST_SUCCESS_STATUS = 200;
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -172,6 +172,8 @@
         runOnWorker(() -> components.selector().selectUpstream(plan, Set.copyOf(excluded), preferred), found -> {
             if (found.isPresent()) {
                 send(found.get());
+            } else if (isRefusedByQuietTimes()) {
+                return;
             } else if (elapsedNanos() < plan.route().targetLatency().toNanos() / SELECTION_WAIT_DIVISOR
                     && sendCount == 0) {
                 // Nothing was sent yet, so only unreachable upstreams are excluded, and they may be reachable again.
@@ -190,6 +192,26 @@
         });
     }
 
+    /**
+     * Fails the call at once if all upstreams of its service want no request for longer than it may wait; the caller is
+     * told when the first of them accepts some again. Returns whether it did.
+     */
+    private boolean isRefusedByQuietTimes() {
+        Optional<Duration> quiet =
+                components.upstreams().timeUntilQuietEnds(plan.service().name());
+        long mayWaitNanos = plan.route().targetLatency().toNanos() / SELECTION_WAIT_DIVISOR - elapsedNanos();
+        if (quiet.isEmpty() || quiet.get().toNanos() < mayWaitNanos) {
+            return false;
+        }
+        fail(CallFailure.of(
+                        ErrorKind.OVERLOADED,
+                        "all upstreams of " + plan.service().name() + " want no request for "
+                                + quiet.get().toMillis() + " ms")
+                .withRetryAfter(components.statements().spread(quiet.get()))
+                .withRan(ranBefore));
+        return true;
+    }
+
     /**
      * Runs {@code task} on a worker, then passes its result to {@code onResult} on the call's context unless the call
      * has ended.
@@ -272,7 +294,9 @@
     final void endIfProcessRuns(UpstreamSelector.Selection target, Runnable onWhole, Consumer<CallFailure> onBroken) {
         components
                 .engineControl()
-                .processState(target.upstream())
+                .processState(
+                        target.upstream(),
+                        !components.upstreams().isQuiet(target.upstream().instance()))
                 .whenComplete((state, error) -> runOnContext(() -> {
                     if (state == EngineProcessState.RUNNING) {
                         onWhole.run();
@@ -418,6 +442,13 @@
         components.workers().executeOrRun(() -> components.selector().recordResult(target, result));
     }
 
+    /** Obeys what the upstream says of itself in a response, if the response is this call's and its own. */
+    final void obeyStatements(UpstreamSelector.Selection target, ResponseHead head) {
+        if (ResponseValidator.mayStateOfItself(plan, head)) {
+            components.statements().obey(target.upstream(), head);
+        }
+    }
+
     /** Passes on the load that the upstream states in a response to the call. */
     final void recordLoad(UpstreamSelector.Selection target, ResponseHead head) {
         components.workers().executeOrRun(() -> components.claimedLoads().record(plan, target, head));
--- a/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
@@ -89,7 +89,8 @@
     }
 
     private void askEngine(Upstream engine, EngineIncarnation incarnation) {
-        engineControl.processState(engine).whenComplete((state, error) -> {
+        boolean mayRequest = !upstreams.isQuiet(engine.instance());
+        engineControl.processState(engine, mayRequest).whenComplete((state, error) -> {
             List<BrokenGeneration> broken = lock.with(() -> collecting.remove(incarnation));
             EngineProcessState known = error == null ? state : EngineProcessState.UNKNOWN;
             List<BrokenGeneration> suspects = broken.stream()
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -139,7 +139,12 @@
     }
 
     private void startMove(Duration timeLimit, TargetCriteria criteria) {
-        if (!hasEnded() && move == null && exchange != null && isMovable()) {
+        if (hasEnded() || move != null || exchange == null || !isMovable()) {
+            return;
+        }
+        if (components.upstreams().isQuiet(selection.upstream().instance())) {
+            components.vertx().setTimer(MOVE_RETRY_DELAY_MILLIS, timer -> startMove(MOVE_RETRY_TIME_LIMIT, criteria));
+        } else {
             move = new GenerationMove(this, selection, timeLimit, criteria);
             move.start();
         }
@@ -287,6 +292,7 @@
         public void head(ResponseHead received) {
             head = received;
             components.upstreams().markReachable(target.upstream().instance());
+            obeyStatements(target, received);
             failure = ResponseValidator.failure(plan, received);
             recordLoad(target, received);
             if (failure == null && !headSent) {
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -173,8 +173,14 @@
         if (ended) {
             return;
         }
-        if (components.upstreams().isLeavingOrUnknown(target.upstream().instance())) {
-            tryNextTarget("the target is leaving too");
+        if (components.upstreams().isQuiet(source.upstream().instance())) {
+            components.vertx().setTimer(RETRY_DELAY_MILLIS, timer -> requestCopy(stop));
+            return;
+        }
+        InstanceId targetId = target.upstream().instance();
+        if (components.upstreams().isLeavingOrUnknown(targetId)
+                || components.upstreams().isQuiet(targetId)) {
+            tryNextTarget("the target is leaving too, or wants no request");
             return;
         }
         if (stop && !stopping) {
--- a/relay/src/main/java/coriandersill/relay/internal/LoadReader.java
+++ b/relay/src/main/java/coriandersill/relay/internal/LoadReader.java
@@ -48,6 +48,7 @@
     private final UpstreamSelector selector;
     private final UpstreamTable upstreams;
     private final GenerationTable generations;
+    private final StatementObserver statements;
     private final MonotonicClock clock;
     private final EventLog events;
     private final Map<InstanceId, Long> readAtNanos = new ConcurrentHashMap<>();
@@ -60,6 +61,7 @@
             UpstreamSelector selector,
             UpstreamTable upstreams,
             GenerationTable generations,
+            StatementObserver statements,
             MonotonicClock clock,
             EventLog events) {
         this.vertx = vertx;
@@ -68,6 +70,7 @@
         this.selector = selector;
         this.upstreams = upstreams;
         this.generations = generations;
+        this.statements = statements;
         this.clock = clock;
         this.events = events;
     }
@@ -146,6 +149,9 @@
     }
 
     private void recordNoReport(Upstream engine, CallFailure failure) {
+        if (!failure.retryAfter().isZero()) {
+            statements.markQuiet(engine, failure.retryAfter());
+        }
         events.record(
                 EventCode.ENGINE_SILENT,
                 Map.of(
@@ -158,6 +164,7 @@
         if (upstreams.listingsAge().compareTo(MAX_LISTINGS_AGE) > 0) {
             selector.listedEngines().stream()
                     .filter(engine -> !generations.callIds(engine.instance()).isEmpty())
+                    .filter(engine -> !upstreams.isQuiet(engine.instance()))
                     .forEach(this::readIfStale);
         }
     }
--- a/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
+++ b/relay/src/main/java/coriandersill/relay/internal/MovePlanner.java
@@ -2,6 +2,7 @@
 
 import coriandersill.catalog.EngineProperties;
 import coriandersill.core.CallFailure;
+import coriandersill.core.ErrorKind;
 import coriandersill.core.InstanceId;
 import coriandersill.events.EventCode;
 import coriandersill.relay.EngineReport;
@@ -40,7 +41,7 @@
         List<GenerationCall> own = components.generations().movable(engine.instance());
         List<GenerationCall> restartable = components.generations().restartable(engine.instance());
         if (!restartable.isEmpty()) {
-            components.engineControl().report(engine).thenAccept(report -> restartWaiting(engine, restartable, report));
+            report(engine).thenAccept(report -> restartWaiting(engine, restartable, report));
         }
         if (own.isEmpty()) {
             return;
@@ -49,9 +50,7 @@
         // All generations on an engine belong to its service; the plan of the first one stands for all of them.
         CompletableFuture<Set<InstanceId>> targetsRefreshed =
                 components.loadReader().refresh(components.selector().sampleTargets(own.get(0).plan, engine));
-        components
-                .engineControl()
-                .report(engine)
+        report(engine)
                 .orTimeout(REPORT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenCombine(targetsRefreshed, (report, answered) -> report)
                 .whenComplete((report, error) -> {
@@ -68,6 +67,13 @@
                 });
     }
 
+    /** Requests the report of an engine unless it wants no request. */
+    private CompletableFuture<EngineReport> report(Upstream engine) {
+        return components.upstreams().isQuiet(engine.instance())
+                ? CompletableFuture.failedFuture(CallFailure.of(ErrorKind.OVERLOADED, "the engine wants no request"))
+                : components.engineControl().report(engine);
+    }
+
     /** Sends the generations elsewhere that wait in the engine's queue, since they would not begin in time. */
     private static void restartWaiting(Upstream engine, List<GenerationCall> calls, EngineReport report) {
         Set<String> running = report.generations().stream()
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -70,6 +70,7 @@
         public void head(ResponseHead received) {
             head = received;
             components.upstreams().markReachable(target.upstream().instance());
+            obeyStatements(target, received);
         }
 
         @Override
--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -109,8 +109,10 @@
         ColdCallLimiter coldCallLimiter = ColdCallLimiter.create(clock);
         GenerationTable generations = new GenerationTable();
         UpstreamSelector selector = createSelector(dependencies, engineRouter, plainRouter, coldCallLimiter);
-        LoadReader loadReader = createLoadReader(dependencies, selector, generations);
         RelayMetrics metrics = new RelayMetrics(dependencies.metrics());
+        StatementObserver statements =
+                new StatementObserver(dependencies.upstreams(), metrics, random, dependencies.events());
+        LoadReader loadReader = createLoadReader(dependencies, selector, generations, statements);
         ClaimedLoads claimedLoads = new ClaimedLoads(loadReader, selector, metrics, dependencies.events());
         RelayComponents components = new RelayComponents(
                 vertx,
@@ -121,6 +123,7 @@
                 selector,
                 loadReader,
                 claimedLoads,
+                statements,
                 createCrashDetector(dependencies, metrics),
                 dependencies.quarantine(),
                 dependencies.rollouts(),
@@ -178,7 +181,10 @@
     }
 
     private static LoadReader createLoadReader(
-            Dependencies dependencies, UpstreamSelector selector, GenerationTable generations) {
+            Dependencies dependencies,
+            UpstreamSelector selector,
+            GenerationTable generations,
+            StatementObserver statements) {
         return new LoadReader(
                 dependencies.vertx(),
                 dependencies.engineControl(),
@@ -186,6 +192,7 @@
                 selector,
                 dependencies.upstreams(),
                 generations,
+                statements,
                 dependencies.clock(),
                 dependencies.events());
     }
--- a/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayComponents.java
@@ -24,6 +24,7 @@
         UpstreamSelector selector,
         LoadReader loadReader,
         ClaimedLoads claimedLoads,
+        StatementObserver statements,
         CrashDetector crashDetector,
         PromptQuarantine quarantine,
         OrderedRollouts rollouts,
--- a/relay/src/main/java/coriandersill/relay/internal/ResponseValidator.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ResponseValidator.java
@@ -11,6 +11,8 @@
     /** Statuses that state that a call was not executed: 408, 421, 429 and 503. */
     private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
 
+    private static final int MISDIRECTED_REQUEST = 421;
+
     private ResponseValidator() {}
 
     /**
@@ -59,6 +61,14 @@
         return failure(plan, head) == null;
     }
 
+    /**
+     * Returns whether what the response says of its upstream may be believed: it is not another call's, and does not
+     * come from another instance at the same address.
+     */
+    static boolean mayStateOfItself(CallPlan plan, ResponseHead head) {
+        return belongsToCall(plan, head) && head.status() != MISDIRECTED_REQUEST;
+    }
+
     /** Returns whether the response names this call; one that names no call also counts as its response. */
     private static boolean belongsToCall(CallPlan plan, ResponseHead head) {
         return head.callId() == null || head.callId().equals(plan.request().id());
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/StatementObserver.java
@@ -0,0 +1,48 @@
+package coriandersill.relay.internal;
+
+import coriandersill.events.EventCode;
+import coriandersill.events.EventLog;
+import coriandersill.relay.ResponseHead;
+import coriandersill.upstreams.Upstream;
+import coriandersill.upstreams.UpstreamTable;
+import java.time.Duration;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/** Records what upstreams say of themselves in their responses: that they leave, and that they want no request. */
+record StatementObserver(UpstreamTable upstreams, RelayMetrics metrics, RandomGenerator random, EventLog events) {
+    /** Entries end a quiet time at different moments, up to this part of it later, so that work returns gradually. */
+    private static final double SPREAD_FRACTION = 0.25;
+
+    private static final Duration MAX_SPREAD = Duration.ofSeconds(1);
+
+    /** Records the statements of a response that {@code upstream} sent itself. */
+    void obey(Upstream upstream, ResponseHead head) {
+        if (head.leaving() && upstreams.markSaidLeaving(upstream)) {
+            metrics.increment("relay.upstream.said_leaving");
+            events.record(
+                    EventCode.UPSTREAM_SAID_LEAVING,
+                    Map.of("upstream", upstream.instance(), "started_ms", upstream.startedAtMillis()));
+        }
+        head.quietTime().ifPresent(time -> markQuiet(upstream, time));
+    }
+
+    /** Records that an upstream wants no request for {@code time}. */
+    void markQuiet(Upstream upstream, Duration time) {
+        Duration obeyed = spread(time);
+        upstreams.markQuiet(upstream, obeyed);
+        metrics.increment("relay.upstream.quiet_times");
+        events.record(
+                EventCode.UPSTREAM_QUIET,
+                Map.of(
+                        "upstream", upstream.instance(),
+                        "asked_ms", time.toMillis(),
+                        "obeyed_ms", obeyed.toMillis()));
+    }
+
+    /** Returns a time that is longer than {@code time} by a random part, so that callers do not return at once. */
+    Duration spread(Duration time) {
+        long spreadNanos = Math.min(MAX_SPREAD.toNanos(), (long) (time.toNanos() * SPREAD_FRACTION));
+        return time.plusNanos((long) (spreadNanos * random.nextDouble()));
+    }
+}
--- /dev/null
+++ b/upstreams/src/main/java/coriandersill/upstreams/UpstreamStatements.java
@@ -0,0 +1,76 @@
+package coriandersill.upstreams;
+
+import coriandersill.core.InstanceId;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What incarnations of upstreams said of themselves in their responses: that they leave, and until when they want no
+ * request. It outlives their listings, and says nothing of another incarnation. Bounded: the oldest statements are
+ * forgotten first. Not thread-safe.
+ */
+final class UpstreamStatements {
+    private static final int MAX_STATEMENTS = 8_192;
+
+    private final Map<InstanceId, Statement> statements = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<InstanceId, Statement> eldest) {
+            return size() > MAX_STATEMENTS;
+        }
+    };
+
+    /**
+     * What one incarnation said.
+     *
+     * @param startedAtMillis its start, which tells incarnations apart
+     * @param leaving whether it said that it leaves
+     * @param quietUntilNanos until when it wants no request; empty if it never asked for that
+     */
+    private record Statement(long startedAtMillis, boolean leaving, Optional<Long> quietUntilNanos) {}
+
+    /** Records that an incarnation said that it leaves; returns whether that is new. */
+    boolean addLeaving(Upstream upstream) {
+        Optional<Statement> known = of(upstream);
+        statements.put(
+                upstream.instance(),
+                new Statement(upstream.startedAtMillis(), true, known.flatMap(Statement::quietUntilNanos)));
+        return known.filter(Statement::leaving).isEmpty();
+    }
+
+    /** Records that an incarnation wants no request until then; the latest of several ends holds. */
+    void addQuietTime(Upstream upstream, long untilNanos) {
+        Optional<Statement> known = of(upstream);
+        long latest = known.flatMap(Statement::quietUntilNanos)
+                .filter(previous -> previous - untilNanos > 0)
+                .orElse(untilNanos);
+        statements.put(
+                upstream.instance(),
+                new Statement(
+                        upstream.startedAtMillis(),
+                        known.filter(Statement::leaving).isPresent(),
+                        Optional.of(latest)));
+    }
+
+    /** Returns whether this incarnation said that it leaves. */
+    boolean saysLeaving(Upstream upstream) {
+        return of(upstream).filter(Statement::leaving).isPresent();
+    }
+
+    /** Returns how much longer this incarnation wants no request; zero if it accepts some. */
+    Duration quietTime(Upstream upstream, long nowNanos) {
+        return of(upstream)
+                .flatMap(Statement::quietUntilNanos)
+                .filter(until -> until - nowNanos > 0)
+                .map(until -> Duration.ofNanos(until - nowNanos))
+                .orElse(Duration.ZERO);
+    }
+
+    private Optional<Statement> of(Upstream upstream) {
+        return Optional.ofNullable(statements.get(upstream.instance()))
+                .filter(statement -> statement.startedAtMillis() == upstream.startedAtMillis());
+    }
+}
--- a/upstreams/src/main/java/coriandersill/upstreams/UpstreamTable.java
+++ b/upstreams/src/main/java/coriandersill/upstreams/UpstreamTable.java
@@ -45,6 +45,7 @@
     private final MonotonicClock clock;
     private final long leavingTimeNanos;
     private final Map<InstanceId, UpstreamState> states = new HashMap<>();
+    private final UpstreamStatements statements = new UpstreamStatements();
     private final Set<AvailabilityZone> zonesOutOfService = new HashSet<>();
     private final List<UpstreamListener> listeners = new ArrayList<>();
 
@@ -89,7 +90,7 @@
         boolean repeats = previous != null
                 && previous.upstream.equals(upstream)
                 && previous.graceEndNanos == null
-                && previous.leavingSinceNanos != null == upstream.leaving()
+                && previous.leavingSinceNanos != null == isLeaving(upstream)
                 && isSameColdness(previous, coldFor);
         return new Update(apply(upstream, coldFor), !repeats);
     }
@@ -113,9 +114,10 @@
         }
         boolean wasLeaving = state.leavingSinceNanos != null;
         state.upstream = upstream;
+        state.listed = true;
         state.graceEndNanos = null;
         state.coldUntilNanos = coldFor.isZero() ? null : (Long) (now + coldFor.toNanos());
-        if (!upstream.leaving()) {
+        if (!isLeaving(upstream)) {
             state.leavingSinceNanos = null;
             return isNew || wasLeaving ? Change.JOINED : Change.NONE;
         }
@@ -126,6 +128,68 @@
         return Change.LEAVING;
     }
 
+    /**
+     * Returns whether an incarnation leaves, by its listing or by what it said itself, which a listing cannot revoke.
+     */
+    private boolean isLeaving(Upstream upstream) {
+        return upstream.leaving() || statements.saysLeaving(upstream);
+    }
+
+    /**
+     * Records that an incarnation of an upstream said in a response that it leaves. It gets no new work from then on,
+     * whatever its listing says; another incarnation does.
+     *
+     * @return whether that was not known of it yet
+     */
+    public boolean markSaidLeaving(Upstream incarnation) {
+        boolean isNew = lock.with(() -> statements.addLeaving(incarnation));
+        boolean leaves = lock.with(() -> {
+            UpstreamState state = states.get(incarnation.instance());
+            if (state == null
+                    || state.leavingSinceNanos != null
+                    || state.upstream.startedAtMillis() != incarnation.startedAtMillis()) {
+                return false;
+            }
+            state.leavingSinceNanos = clock.nanos();
+            return true;
+        });
+        if (leaves) {
+            notifyListeners(Change.LEAVING, incarnation);
+        }
+        return isNew;
+    }
+
+    /**
+     * Records that an incarnation of an upstream wants no request for {@code time}; the latest of several ends holds.
+     */
+    public void markQuiet(Upstream incarnation, Duration time) {
+        lock.run(() -> statements.addQuietTime(incarnation, clock.nanos() + time.toNanos()));
+    }
+
+    /** Returns whether an upstream wants no request now. */
+    public boolean isQuiet(InstanceId instance) {
+        return lock.with(() -> {
+            UpstreamState state = states.get(instance);
+            return state != null && isQuiet(state);
+        });
+    }
+
+    /**
+     * Returns the time until the first upstream of a service accepts requests again; empty if one accepts some now, or
+     * if there is none that will.
+     */
+    public Optional<Duration> timeUntilQuietEnds(ServiceName service) {
+        return lock.with(() -> {
+            List<Duration> times = states.values().stream()
+                    .filter(state -> state.upstream.service().equals(service) && isInService(state))
+                    .map(state -> statements.quietTime(state.upstream, clock.nanos()))
+                    .toList();
+            return times.contains(Duration.ZERO)
+                    ? Optional.<Duration>empty()
+                    : times.stream().min(Duration::compareTo);
+        });
+    }
+
     /**
      * Records that an upstream is no longer listed.
      *
@@ -135,9 +199,14 @@
     public void markUnlisted(InstanceId instance, Duration gracePeriod) {
         Upstream leaving = lock.with(() -> {
             UpstreamState state = states.get(instance);
-            if (state == null || state.leavingSinceNanos != null) {
+            if (state == null) {
                 return null;
             }
+            if (state.leavingSinceNanos != null) {
+                state.listed = false;
+                return null;
+            }
+            state.listed = !gracePeriod.isZero();
             if (!gracePeriod.isZero()) {
                 state.graceEndNanos = state.graceEndNanos == null
                         ? (Long) (clock.nanos() + gracePeriod.toNanos())
@@ -209,13 +278,15 @@
             for (UpstreamState state : states.values()) {
                 if (state.graceEndNanos != null && now - state.graceEndNanos >= 0 && state.leavingSinceNanos == null) {
                     state.leavingSinceNanos = now;
+                    state.listed = false;
                     leaving.add(state.upstream);
                 }
             }
             states.values().removeIf(state -> {
                 boolean leavingTimeOver =
                         state.leavingSinceNanos != null && now - state.leavingSinceNanos > leavingTimeNanos;
-                if (leavingTimeOver && !state.upstream.leaving()) {
+                boolean announced = state.listed && isLeaving(state.upstream);
+                if (leavingTimeOver && !announced && !state.upstream.leaving()) {
                     removed.add(state.upstream);
                     return true;
                 }
@@ -291,6 +362,14 @@
     }
 
     private boolean acceptsNewWork(UpstreamState state) {
+        return isInService(state) && !isQuiet(state);
+    }
+
+    private boolean isQuiet(UpstreamState state) {
+        return !statements.quietTime(state.upstream, clock.nanos()).isZero();
+    }
+
+    private boolean isInService(UpstreamState state) {
         return state.leavingSinceNanos == null && !zonesOutOfService.contains(state.upstream.zone());
     }
 
@@ -324,5 +403,8 @@
         private Long graceEndNanos;
         private Long avoidedUntilNanos;
         private int consecutiveFailures;
+
+        /** Whether the upstream is listed, as far as is known. */
+        private boolean listed = true;
     }
 }
--- a/upstreams/src/test/java/coriandersill/upstreams/UpstreamTableTest.java
+++ b/upstreams/src/test/java/coriandersill/upstreams/UpstreamTableTest.java
@@ -14,6 +14,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -141,6 +142,56 @@
         assertThat(limiter.tryAcquire(instance, 20.0 / 4), is(true));
     }
 
+    /** Guards against a listing that brings back work to an upstream that said itself that it leaves. */
+    @Test
+    void anUpstreamThatSaidThatItLeavesStaysOutOfServiceWhateverItsListingSays() {
+        Upstream incarnation = upstream("i", 1, false);
+        table.addOrUpdate(incarnation, Duration.ZERO);
+
+        assertThat(table.markSaidLeaving(incarnation), is(true));
+        assertThat(table.markSaidLeaving(incarnation), is(false));
+        for (int i = 0; i < 5; i++) {
+            clock.advance(Duration.ofSeconds(1));
+            assertThat("the listing only repeats", table.addOrUpdate(incarnation, Duration.ZERO), is(false));
+            table.sweep();
+            assertThat(table.inService(SCRIBE), is(empty()));
+        }
+        table.markUnlisted(InstanceId.of("i"), Duration.ZERO);
+        table.sweep();
+        table.addOrUpdate(incarnation, Duration.ZERO);
+        assertThat("listed once more", table.inService(SCRIBE), is(empty()));
+    }
+
+    @Test
+    void anotherIncarnationIsFreeOfWhatTheOneBeforeSaid() {
+        Upstream before = upstream("i", 1, false);
+        Upstream after = upstream("i", 2, false);
+        table.addOrUpdate(before, Duration.ZERO);
+        table.addOrUpdate(after, Duration.ZERO);
+
+        table.markSaidLeaving(before);
+        table.markQuiet(before, Duration.ofSeconds(60));
+
+        assertThat(table.inService(SCRIBE), contains(after));
+    }
+
+    @Test
+    void theLatestEndOfSeveralQuietTimesHolds() {
+        Upstream upstream = upstream("i", 1, false);
+        table.addOrUpdate(upstream, Duration.ZERO);
+
+        table.markQuiet(upstream, Duration.ofSeconds(5));
+        table.markQuiet(upstream, Duration.ofSeconds(1));
+
+        clock.advance(Duration.ofSeconds(4));
+        assertThat(table.inService(SCRIBE), is(empty()));
+        assertThat(table.isQuiet(upstream.instance()), is(true));
+        assertThat(table.timeUntilQuietEnds(SCRIBE), is(Optional.of(Duration.ofSeconds(1))));
+        clock.advance(Duration.ofSeconds(1));
+        assertThat(table.inService(SCRIBE), contains(upstream));
+        assertThat(table.timeUntilQuietEnds(SCRIBE), is(Optional.empty()));
+    }
+
     private static Upstream upstream(String id, long startedAtMillis, boolean leaving) {
         return new Upstream(
                 InstanceId.of(id), startedAtMillis, SCRIBE, "127.0.0.1", 80, ZONE, VersionName.of("v1"), 8, leaving);
