Cut off upstreams that send interim responses without end

Reported by other operators: a faulty worker sent bytes that were no answer, without end, until the caller closed; its machine ran out of memory.

Memory of the process was not measured.

--- a/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -30,6 +31,8 @@
 
 /** Guards against an answer that its upstream did not finish and that a sidecar passes on as a whole one. */
 final class SidecarTruncatedAnswerTest {
+    private static final int REPEATED_PIECE_BYTES = 16_384;
+
     private final Vertx vertx = Vertx.vertx();
     private final WireEventLoops eventLoops = WireEventLoops.of(1);
     private final WorkerPool workers = WorkerPool.of("test", 2, 100);
@@ -118,6 +121,39 @@
         assertThat(call(), instanceOf(Message.Failed.class));
     }
 
+    /** Guards against bytes without end that a sidecar keeps until it runs out of memory. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "|x",
+                "|HTTP/1.1 100 Continue\r\n\r\n",
+                "|HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX-Long: |x",
+                "HTTP/1.1 200 OK\r\n|X-Many: y\r\n",
+                "HTTP/1.1 200 OK\r\n\r\n|x",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n|4\r\nabcd\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;|x"
+            })
+    void bytesWithoutEndAreCutOff(String startAndRepeated) {
+        String[] parts = startAndRepeated.split("\\|", 2);
+        AtomicBoolean closed = new AtomicBoolean();
+        answer = socket -> {
+            socket.write(parts[0]);
+            String piece = parts[1].repeat(REPEATED_PIECE_BYTES / parts[1].length());
+            socket.closeHandler(ignored -> closed.set(true));
+            vertx.setPeriodic(1, timer -> {
+                if (closed.get()) {
+                    vertx.cancelTimer(timer);
+                } else if (!socket.writeQueueFull()) {
+                    socket.write(piece);
+                }
+            });
+        };
+
+        assertThat(call(), instanceOf(Message.Failed.class));
+        Await.until(closed::get);
+    }
+
     private Message.CallMessage call() {
         Message.CallAttempt attempt = new Message.CallAttempt(CallId.random(new Random(1)), 1);
         entry.send(new Message.Dispatch(
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamExchange.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamExchange.java
@@ -18,7 +18,11 @@
  * <p>Confined to the Vert.x context that starts it. After {@link #cancel} the listener is not called any more.
  */
 final class UpstreamExchange {
+    /** An upstream that sends more interim responses (1xx) than this sends no response of the protocol. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private final Listener listener;
+    private int interimResponses;
     private HttpClientRequest request;
     private HttpClientResponse response;
     private boolean closed;
@@ -101,6 +105,8 @@
             return;
         }
         opened.headers().setAll(codec.encode(call));
+        opened.continueHandler(received -> countInterimResponse());
+        opened.earlyHintsHandler(received -> countInterimResponse());
         opened.exceptionHandler(error -> connectionBroken(error));
         opened.response().onSuccess(received -> receive(received, codec)).onFailure(this::connectionBroken);
         if (body.length() > 0) {
@@ -110,6 +116,17 @@
         }
     }
 
+    private void countInterimResponse() {
+        interimResponses++;
+        if (interimResponses > MAX_INTERIM_RESPONSES && !closed) {
+            fail(CallFailure.of(
+                            ErrorKind.OUTCOME_UNKNOWN,
+                            "response: expected at most " + MAX_INTERIM_RESPONSES + " interim ones, found more")
+                    .withRan(Ran.UNKNOWN));
+            request.reset();
+        }
+    }
+
     private void receive(HttpClientResponse received, CallCodec codec) {
         if (closed) {
             return;
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An HTTP client for one upstream.
@@ -27,6 +28,7 @@
 public final class UpstreamClient implements ManagedService {
     private static final int MAX_CONNECTIONS = 4_096;
     private static final int MAX_WAITING_REQUESTS = MAX_CONNECTIONS;
+    private static final int MAX_INTERIM_RESPONSES = 16;
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
     private final HttpClient client;
@@ -70,8 +72,16 @@
                 .otherwise(error -> !(error instanceof ConnectException) || error instanceof ConnectTimeoutException);
     }
 
-    /** Sends the body and ends the request. */
+    /** Sends the body and ends the request; resets it if the upstream sends interim responses (1xx) without end. */
     static void send(HttpClientRequest request, Message.Dispatch dispatch) {
+        AtomicInteger interimResponses = new AtomicInteger();
+        Runnable count = () -> {
+            if (interimResponses.incrementAndGet() == MAX_INTERIM_RESPONSES) {
+                request.reset();
+            }
+        };
+        request.continueHandler(received -> count.run());
+        request.earlyHintsHandler(received -> count.run());
         request.end(Buffer.buffer(dispatch.request().body()));
     }
 
