Soak: upstreams say that they leave and ask for quiet times, and both are checked from outside

Plain upstreams now and then say in all answers that they leave while their listing calls them ready, or refuse calls for 0.4 s with a Retry-After of 1 to 3 s. StatementChecker holds each entry to both rules by what callers and upstreams saw, with restarts and pauses of the entry as excuses (and disturbed links to the upstream for the quiet time).

--- a/soak/src/main/java/coriandersill/soak/CallResult.java
+++ b/soak/src/main/java/coriandersill/soak/CallResult.java
@@ -8,6 +8,7 @@
  * @param entry the name of the entry to which it was sent
  * @param key the API key sent with it
  * @param sentAtNanos when it was sent, by {@link System#nanoTime}
+ * @param endedAtNanos when its response was complete or had failed, by {@link System#nanoTime}
  * @param entrySettled whether, when it was sent, the entry had been undisturbed long enough for time limits to apply
  * @param status the HTTP status; 0 without a response
  * @param complete whether the response ended normally
@@ -19,6 +20,7 @@
         String entry,
         String key,
         long sentAtNanos,
+        long endedAtNanos,
         boolean entrySettled,
         int status,
         boolean complete,
--- a/soak/src/main/java/coriandersill/soak/DisturbanceTracker.java
+++ b/soak/src/main/java/coriandersill/soak/DisturbanceTracker.java
@@ -1,6 +1,8 @@
 package coriandersill.soak;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -15,6 +17,37 @@
     private final Map<String, Integer> activeDisturbances = new ConcurrentHashMap<>();
     private final Map<String, Long> undisturbedSinceNanos = new ConcurrentHashMap<>();
 
+    private final Map<String, List<Interval>> interruptions = new ConcurrentHashMap<>();
+
+    /** A time in which a process was stopped, killed or paused, or a link was disturbed; open ones end never. */
+    private record Interval(long fromNanos, long toNanos) {}
+
+    /**
+     * Records that an entry stops, is killed or is paused, or that the link of an upstream is disturbed, from now on.
+     */
+    synchronized void interruptionStarted(String name) {
+        interruptions
+                .computeIfAbsent(name, key -> new ArrayList<>())
+                .add(new Interval(System.nanoTime(), Long.MAX_VALUE));
+    }
+
+    /** Records the end of the oldest open interruption. */
+    synchronized void interruptionEnded(String name) {
+        List<Interval> intervals = interruptions.get(name);
+        for (int i = 0; i < intervals.size(); i++) {
+            if (intervals.get(i).toNanos() == Long.MAX_VALUE) {
+                intervals.set(i, new Interval(intervals.get(i).fromNanos(), System.nanoTime()));
+                return;
+            }
+        }
+    }
+
+    /** Returns whether an interruption overlaps a time. */
+    synchronized boolean isInterrupted(String name, long fromNanos, long toNanos) {
+        return interruptions.getOrDefault(name, List.of()).stream()
+                .anyMatch(interval -> interval.fromNanos() < toNanos && interval.toNanos() > fromNanos);
+    }
+
     /** Records the start of a disturbance of an entry. */
     synchronized void disturbanceStarted(String entry) {
         activeDisturbances.merge(entry, 1, Integer::sum);
--- a/soak/src/main/java/coriandersill/soak/FaultInjector.java
+++ b/soak/src/main/java/coriandersill/soak/FaultInjector.java
@@ -34,6 +34,15 @@
     /** How long a crashed upstream stays listed. */
     private static final long CRASHED_LISTING_MILLIS = 1_000;
 
+    private static final int STATEMENT_INTERVAL_MILLIS = 1_700;
+    private static final int MAX_QUIET_SECONDS = 3;
+
+    /** How long an upstream refuses calls with a quiet time. */
+    private static final long REFUSING_MILLIS = 400;
+
+    /** How long an upstream keeps serving, listed as ready, after it began to say that it leaves. */
+    private static final long SAID_LEAVING_MILLIS = 6_000;
+
     /** The number of cases of {@link #inject}, numbered from 0; a fault with two cases is twice as likely. */
     private static final int FAULT_CHOICES = 10;
 
@@ -53,6 +62,10 @@
     private final List<LoopbackProxy> storeProxies;
     private final DisturbanceTracker disturbances;
     private final Random random;
+
+    /** Draws what upstreams say of themselves, apart from the faults, so that these stay as they were for a seed. */
+    private final Random statementRandom;
+
     private final List<String> events = new ArrayList<>();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
 
@@ -67,17 +80,20 @@
             List<EntryProcess> entries,
             List<LoopbackProxy> storeProxies,
             DisturbanceTracker disturbances,
-            Random random) {
+            Random random,
+            Random statementRandom) {
         this.environment = environment;
         this.entries = entries;
         this.storeProxies = storeProxies;
         this.disturbances = disturbances;
         this.random = random;
+        this.statementRandom = statementRandom;
         this.entryReserved = new boolean[entries.size()];
     }
 
     void start() {
         timer.schedule(this::injectNext, MIN_FAULT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        timer.schedule(this::injectStatement, STATEMENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -108,6 +124,43 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Makes a plain upstream say that it leaves, while its listing calls it ready, or ask for a quiet time. */
+    private void injectStatement() {
+        if (stopping) {
+            return;
+        }
+        List<Upstream> candidates = environment.remainingUpstreams(Upstream.PLAIN_SERVICE);
+        Upstream upstream = candidates.get(statementRandom.nextInt(candidates.size()));
+        try {
+            if (statementRandom.nextBoolean() && candidates.size() > 1) {
+                sayLeaving(upstream);
+            } else {
+                askForQuiet(upstream, 1 + statementRandom.nextInt(MAX_QUIET_SECONDS));
+            }
+        } catch (Exception e) {
+            record("failed to make " + upstream.id() + " say something: " + e);
+        }
+        timer.schedule(this::injectStatement, STATEMENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void sayLeaving(Upstream upstream) throws Exception {
+        String fault = upstream.id() + " says that it leaves";
+        record(fault);
+        upstream.sayLeaving();
+        environment.addUpstream(Upstream.PLAIN_SERVICE);
+        scheduleEnd(fault, SAID_LEAVING_MILLIS, () -> {
+            environment.removeListing(upstream);
+            upstream.close();
+        });
+    }
+
+    private void askForQuiet(Upstream upstream, int seconds) {
+        String fault = upstream.id() + " asks for " + seconds + " s without requests";
+        record(fault);
+        upstream.refuseAndAskForQuiet(seconds);
+        scheduleEnd(fault, REFUSING_MILLIS, () -> upstream.refuseAndAskForQuiet(0));
+    }
+
     private void inject(int faultNumber, int durationMillis) throws Exception {
         switch (faultNumber) {
             case 0, 1 -> restart(random.nextInt(entries.size()), random.nextBoolean());
@@ -129,6 +182,7 @@
         EntryProcess entry = entries.get(index);
         record((graceful ? "stop " : "kill ") + entry.name());
         disturbances.disturbanceStarted(entry.name());
+        disturbances.interruptionStarted(entry.name());
         timer.schedule(
                 () -> {
                     try {
@@ -159,6 +213,7 @@
         String fault = "pause " + entry.name() + " for " + durationMillis + " ms";
         record(fault);
         disturbances.disturbanceStarted(entry.name());
+        disturbances.interruptionStarted(entry.name());
         entry.signal("STOP");
         scheduleEnd(fault, durationMillis, () -> {
             entry.signal("CONT");
@@ -196,8 +251,12 @@
         Upstream upstream = candidates.get(random.nextInt(candidates.size()));
         String fault = "connection of " + upstream.id() + " " + mode + " for " + durationMillis + " ms";
         record(fault);
+        disturbances.interruptionStarted(upstream.id());
         upstream.proxy().setMode(mode);
-        scheduleEnd(fault, durationMillis, () -> upstream.proxy().setMode(LoopbackProxy.Mode.PASS));
+        scheduleEnd(fault, durationMillis, () -> {
+            upstream.proxy().setMode(LoopbackProxy.Mode.PASS);
+            disturbances.interruptionEnded(upstream.id());
+        });
     }
 
     /** Replaces an upstream, which is first listed as leaving; if {@code noticeMillis} is 0, it crashes instead. */
@@ -250,6 +309,7 @@
     /** Ends the reservation and the disturbance of an entry. */
     private synchronized void release(int index) {
         entryReserved[index] = false;
+        disturbances.interruptionEnded(entries.get(index).name());
         disturbances.disturbanceEnded(entries.get(index).name());
     }
 
--- a/soak/src/main/java/coriandersill/soak/LoadGenerator.java
+++ b/soak/src/main/java/coriandersill/soak/LoadGenerator.java
@@ -86,6 +86,7 @@
                     entry.name(),
                     key,
                     sentAtNanos,
+                    System.nanoTime(),
                     entrySettled,
                     response == null ? 0 : response.statusCode(),
                     failure == null,
--- a/soak/src/main/java/coriandersill/soak/Soak.java
+++ b/soak/src/main/java/coriandersill/soak/Soak.java
@@ -86,8 +86,8 @@
             Path directory)
             throws Exception {
         LoadGenerator load = new LoadGenerator(environment, entries, disturbances, new Random(random.nextLong()));
-        FaultInjector injector =
-                new FaultInjector(environment, entries, storeProxies, disturbances, new Random(random.nextLong()));
+        FaultInjector injector = new FaultInjector(
+                environment, entries, storeProxies, disturbances, new Random(random.nextLong()), new Random(~seed));
         load.start();
         injector.start();
         TimeUnit.MILLISECONDS.sleep(faultDuration.toMillis());
@@ -100,6 +100,7 @@
         List<CallResult> calls = load.stop();
         List<String> violations = new ArrayList<>(ResultChecker.violations(
                 calls, environment.upstreams(), environment.revokedAtNanos(), environment.workspacesOfAllKeys()));
+        violations.addAll(StatementChecker.violations(calls, environment.upstreams(), disturbances));
         List<CallResult> callsAfterRecovery = calls.stream()
                 .filter(call -> call.sentAtNanos() > checkedFromNanos
                         && !environment.revokedAtNanos().containsKey(call.key()))
--- a/soak/src/main/java/coriandersill/soak/SoakEnvironment.java
+++ b/soak/src/main/java/coriandersill/soak/SoakEnvironment.java
@@ -84,7 +84,7 @@
         store.put(
                 PlatformFixtures.LISTING_TOPIC,
                 upstream.id(),
-                PlatformFixtures.listing(upstream.service(), upstream.proxy().port(), upstream.isLeaving()));
+                PlatformFixtures.listing(upstream.service(), upstream.proxy().port(), upstream.isListedAsLeaving()));
     }
 
     /** Publishes that an upstream is leaving. */
--- a/soak/src/main/java/coriandersill/soak/Upstream.java
+++ b/soak/src/main/java/coriandersill/soak/Upstream.java
@@ -4,8 +4,11 @@
 import coriandersill.platform.StandInUpstream;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 /**
  * An upstream behind a proxy. Of {@value #CALLS_PER_FAULT} calls on average, a plain upstream refuses one, closes the
@@ -28,7 +31,12 @@
     private final StandInUpstream server;
     private final LoopbackProxy proxy;
     private final Set<String> refused = ConcurrentHashMap.newKeySet();
+    private final List<Statement> statements = new CopyOnWriteArrayList<>();
     private volatile long leavingAtNanos = Long.MAX_VALUE;
+    private volatile boolean saysLeaving;
+
+    /** The quiet time that each call is refused with, in seconds; 0 if calls are served. */
+    private volatile int quietSeconds;
 
     private Upstream(Vertx vertx, String id, String service) throws Exception {
         this.id = id;
@@ -46,6 +54,18 @@
     }
 
     private void respond(StandInUpstream.ReceivedRequest request, NetSocket socket) {
+        int quiet = quietSeconds;
+        if (quiet > 0) {
+            refused.add(request.attemptId());
+            addStatement(request, saysLeaving, quiet);
+            socket.write(PlatformFixtures.quietTimeResponse(quiet));
+            return;
+        }
+        if (saysLeaving) {
+            addStatement(request, true, 0);
+            socket.write(PlatformFixtures.leavingResponse(request.attemptId(), responseBody(request.attemptId())));
+            return;
+        }
         switch (Math.floorMod(request.attemptId().hashCode(), CALLS_PER_FAULT)) {
             case 0 -> {
                 refused.add(request.attemptId());
@@ -60,6 +80,26 @@
         }
     }
 
+    private void addStatement(StandInUpstream.ReceivedRequest request, boolean leaving, int quiet) {
+        long now = System.nanoTime();
+        statements.add(new Statement(request.attemptId(), now, leaving, now + TimeUnit.SECONDS.toNanos(quiet)));
+    }
+
+    /** Makes a plain upstream say in all its answers that it leaves; its listing stays as it is. */
+    void sayLeaving() {
+        saysLeaving = true;
+    }
+
+    /** Makes a plain upstream refuse all calls and ask for a quiet time, until called with 0. */
+    void refuseAndAskForQuiet(int seconds) {
+        quietSeconds = seconds;
+    }
+
+    /** What it said of itself, in order. */
+    List<Statement> statements() {
+        return statements;
+    }
+
     /** The response body of a call. */
     static String responseBody(String callId) {
         return "done " + callId;
@@ -94,6 +134,10 @@
     }
 
     boolean isLeaving() {
+        return saysLeaving || leavingAtNanos != Long.MAX_VALUE;
+    }
+
+    boolean isListedAsLeaving() {
         return leavingAtNanos != Long.MAX_VALUE;
     }
 
--- a/soak/src/test/java/coriandersill/soak/ResultCheckerTest.java
+++ b/soak/src/test/java/coriandersill/soak/ResultCheckerTest.java
@@ -50,7 +50,8 @@
     }
 
     private static CallResult result(CallKind kind, int status, boolean complete, String body) {
-        return new CallResult("c7", kind, "entry-0", "key-1", System.nanoTime(), true, status, complete, body);
+        return new CallResult(
+                "c7", kind, "entry-0", "key-1", System.nanoTime(), System.nanoTime(), true, status, complete, body);
     }
 
     private List<String> violations(CallResult... calls) {
@@ -147,6 +148,7 @@
                 "entry-0",
                 "key-1",
                 System.nanoTime() + OVER_MAX_REACTION_NANOS,
+                System.nanoTime() + OVER_MAX_REACTION_NANOS,
                 true,
                 200,
                 true,
