--- a/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayAssembly.java
@@ -99,24 +99,18 @@
         RelaySettings settings = dependencies.settings();
         MonotonicClock clock = dependencies.clock();
         RandomGenerator random = dependencies.random();
-        HttpClient client = createClient(vertx);
-        Router engineRouter = Router.builder(clock, random)
-                .policy(LeastPromptBacklog.of(GENERATION_COST_TOKENS, OTHER_ZONE_COST_TOKENS, random.nextInt()))
-                .build();
-        Router plainRouter = Router.builder(clock, random)
-                .reportLifetime(CLAIMED_LOAD_LIFETIME)
-                .build();
+        Router engineRouter = createEngineRouter(clock, random);
+        Router plainRouter = createPlainRouter(clock, random);
         ColdCallLimiter coldCallLimiter = ColdCallLimiter.create(clock);
         GenerationTable generations = new GenerationTable();
         UpstreamSelector selector = createSelector(dependencies, engineRouter, plainRouter, coldCallLimiter);
         RelayMetrics metrics = new RelayMetrics(dependencies.metrics());
-        StatementObserver statements =
-                new StatementObserver(dependencies.upstreams(), metrics, random, dependencies.events());
+        StatementObserver statements = createStatementObserver(dependencies, metrics);
         LoadReader loadReader = createLoadReader(dependencies, selector, generations, statements);
         ClaimedLoads claimedLoads = new ClaimedLoads(loadReader, selector, metrics, dependencies.events());
         RelayComponents components = new RelayComponents(
                 vertx,
-                client,
+                createClient(vertx),
                 dependencies.workers(),
                 settings,
                 new CallPlanner(dependencies.catalogs(), settings.maxCatalogAge(), random),
@@ -140,22 +134,47 @@
                 random,
                 dependencies.events());
         MovePlanner movePlanner = new MovePlanner(components);
-        dependencies
-                .upstreams()
-                .addListener(new DepartureListener(
-                        generations,
-                        movePlanner,
-                        engineRouter,
-                        plainRouter,
-                        coldCallLimiter,
-                        claimedLoads,
-                        dependencies.slowEngines(),
-                        dependencies.events()));
+        DepartureListener departures = new DepartureListener(
+                generations,
+                movePlanner,
+                engineRouter,
+                plainRouter,
+                coldCallLimiter,
+                claimedLoads,
+                dependencies.slowEngines(),
+                dependencies.events());
+        dependencies.upstreams().addListener(departures);
         RelayServer callServer = new RelayServer(components);
         registerGauges(dependencies, callServer, components);
-        ReadinessServer readinessServer = new ReadinessServer(
-                vertx, settings, () -> dependencies.catalogs().newest().isPresent() && !callServer.stopping());
-        return new RelayAssembly(callServer, readinessServer, loadReader, dependencies.upstreams(), movePlanner);
+        return new RelayAssembly(
+                callServer,
+                createReadinessServer(dependencies, callServer),
+                loadReader,
+                dependencies.upstreams(),
+                movePlanner);
+    }
+
+    private static Router createEngineRouter(MonotonicClock clock, RandomGenerator random) {
+        return Router.builder(clock, random)
+                .policy(LeastPromptBacklog.of(GENERATION_COST_TOKENS, OTHER_ZONE_COST_TOKENS, random.nextInt()))
+                .build();
+    }
+
+    private static Router createPlainRouter(MonotonicClock clock, RandomGenerator random) {
+        return Router.builder(clock, random)
+                .reportLifetime(CLAIMED_LOAD_LIFETIME)
+                .build();
+    }
+
+    private static ReadinessServer createReadinessServer(Dependencies dependencies, RelayServer callServer) {
+        return new ReadinessServer(
+                dependencies.vertx(),
+                dependencies.settings(),
+                () -> dependencies.catalogs().newest().isPresent() && !callServer.stopping());
+    }
+
+    private static StatementObserver createStatementObserver(Dependencies dependencies, RelayMetrics metrics) {
+        return new StatementObserver(dependencies.upstreams(), metrics, dependencies.random(), dependencies.events());
     }
 
     private static RetryPolicies createRetryPolicies(Dependencies dependencies) {
