Log orders to stop a generation and how the end of its stream was judged

The logs could not tell the incident's hypotheses apart: no line had an order to stop with its answer, the framing of a stream or the number of its run, and a call that succeeded is written for one in 16, so that a falsely complete stream left no line at all.

Events 432 (order, run, engine), 433 (what became of the order) and 434 (the evidence and the verdict). A call with an order to stop is always written. The evidence of orders is a new library, responses, pure records: an order belongs to a run of a call at an engine and outlives the move that gave it. No decision uses it yet.

--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -112,6 +112,12 @@
     PART_QUARANTINED(430, Level.WARNING, "prompt part quarantined"),
     /** A prompt part is no longer quarantined. */
     PART_RELEASED(431, Level.INFO, "prompt part released"),
+    /** An engine is told to stop a generation, so that the rest of it is copied. */
+    GENERATION_STOP_ORDERED(432, Level.INFO, "generation told to stop"),
+    /** What is known of an order to stop a generation, from its answer or its lack. */
+    GENERATION_STOP_SETTLED(433, Level.INFO, "order to stop settled"),
+    /** The end of a stream whose framing does not show it, or that was to stop, was judged; the details have why. */
+    STREAM_END_JUDGED(434, Level.INFO, "end of a stream judged"),
     /** An upstream has returned to the cold state. */
     UPSTREAM_COLD(500, Level.WARNING, "upstream is cold"),
     /** An upstream has shown that it sustains its full limit. */
--- a/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
@@ -49,7 +49,8 @@
                 "rollout",
                 "catalog",
                 "quarantine",
-                "upstreams"
+                "upstreams",
+                "responses"
             })
     void aDecisionLibraryDependsOnlyOnCoreAndTheJdkAndReadsNoClockOrRandomSource(String module) throws IOException {
         List<String> violations = new ArrayList<>();
--- a/relay/src/main/java/coriandersill/relay/CopyResult.java
+++ b/relay/src/main/java/coriandersill/relay/CopyResult.java
@@ -1,5 +1,6 @@
 package coriandersill.relay;
 
+import coriandersill.responses.StopOrder;
 import java.util.Optional;
 
 /**
@@ -13,12 +14,23 @@
     /** The outcome of a copy. */
     public enum Status {
         /** The copy is complete except for tokens that were added after it was made. */
-        COPIED,
+        COPIED(StopOrder.State.ANSWERED),
         /** The engine runs no such generation, or the generation has not produced its first token yet. */
-        NO_RUN,
+        NO_RUN(StopOrder.State.NOT_CARRIED_OUT),
         /** Another copy of the same generation is in progress. */
-        BUSY,
+        BUSY(StopOrder.State.NOT_CARRIED_OUT),
         /** The target lacks memory or is unreachable; if a stop was requested, the generation has stopped. */
-        NO_ROOM
+        NO_ROOM(StopOrder.State.ANSWERED);
+
+        private final StopOrder.State stopOrderState;
+
+        Status(StopOrder.State stopOrderState) {
+            this.stopOrderState = stopOrderState;
+        }
+
+        /** Returns what this outcome says of the order to stop the generation, if the copy was to be the last. */
+        public StopOrder.State stopOrderState() {
+            return stopOrderState;
+        }
     }
 }
--- a/relay/src/main/java/coriandersill/relay/internal/CallTrace.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallTrace.java
@@ -8,7 +8,8 @@
 import java.util.Map;
 
 /**
- * Collects the decisions of one call and writes them to the event log when the call ends, if it failed or is sampled.
+ * Collects the decisions of one call and writes them to the event log when the call ends, if it failed, is kept or is
+ * sampled.
  *
  * <p>Confined to the Vert.x context of the call.
  */
@@ -23,6 +24,7 @@
     private final String id;
     private final List<Decision> decisions = new ArrayList<>();
     private int droppedCount;
+    private boolean kept;
 
     CallTrace(EventLog events, String id) {
         this.events = events;
@@ -42,9 +44,14 @@
         decisions.add(new Decision(code, details));
     }
 
-    /** Writes the recorded decisions if the call failed or is sampled. */
+    /** Makes the decisions be written however the call ends, since its success depends on more than its upstream. */
+    void keep() {
+        kept = true;
+    }
+
+    /** Writes the recorded decisions if the call failed, is kept or is sampled. */
     void finish(boolean failed) {
-        if (!failed && Math.floorMod(id.hashCode(), SAMPLE_INTERVAL) != 0) {
+        if (!failed && !kept && Math.floorMod(id.hashCode(), SAMPLE_INTERVAL) != 0) {
             return;
         }
         for (Decision decision : decisions) {
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -6,11 +6,15 @@
 import coriandersill.events.EventCode;
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
+import coriandersill.responses.GenerationRun;
+import coriandersill.responses.StopOrder;
+import coriandersill.responses.StopOrders;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.PaceWindow;
 import coriandersill.upstreams.Upstream;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -44,6 +48,9 @@
     private GenerationMove move;
     private Runnable releaseCurrentMemory = () -> {};
     private boolean recoveryAttempted;
+    private int runCount;
+    private GenerationRun currentRun;
+    private StopOrders stopOrders = StopOrders.NONE;
 
     /** The engine that may have stopped the generation for a move that failed; null if there is none. */
     private UpstreamSelector.Selection stoppedAt;
@@ -221,6 +228,32 @@
         }
     }
 
+    /** Returns the latest run; null before the first request is created. */
+    GenerationRun currentRun() {
+        return currentRun;
+    }
+
+    /** Returns the orders to stop runs of this call. */
+    StopOrders stopOrders() {
+        return stopOrders;
+    }
+
+    /** Called right before an engine is told to stop {@code run}; the order is the last of {@link #stopOrders}. */
+    void stopOrdered(GenerationRun run) {
+        stopOrders = stopOrders.ordered(run);
+        trace.keep();
+        trace.record(
+                EventCode.GENERATION_STOP_ORDERED,
+                elapsedMillis(),
+                Map.of("order", stopOrders.last(), "run", run.number(), "engine", run.engine()));
+    }
+
+    /** Called when it is known what became of an order, or that no answer will be received. */
+    void stopSettled(int order, StopOrder.State state) {
+        stopOrders = stopOrders.settled(order, state);
+        trace.record(EventCode.GENERATION_STOP_SETTLED, elapsedMillis(), Map.of("order", order, "state", state));
+    }
+
     private void forward(EventSplitter.Event event) {
         if (event.id() != EventSplitter.NO_ID) {
             if (event.id() <= lastDeliveredEventId) {
@@ -277,6 +310,7 @@
         private final PaceWindow pace = PaceWindow.create();
         private final BodyBuffer errorBody = new BodyBuffer(components.bodyMemory(), MAX_ERROR_BODY_BYTES);
         private final long sentAtNanos = components.clock().nanos();
+        private final GenerationRun run;
         private ResponseHead head;
         private CallFailure failure;
         private boolean firstEventReceived;
@@ -287,6 +321,8 @@
         private StreamListener(UpstreamSelector.Selection target, KvCacheCopy copy) {
             this.target = target;
             this.copy = copy;
+            this.run = new GenerationRun(++runCount, target.upstream().instance());
+            currentRun = run;
             releaseCurrentMemory.run();
             releaseCurrentMemory = this::releaseMemory;
         }
@@ -444,8 +480,10 @@
             } else if (failure != null) {
                 endIfProcessRuns(target, () -> handleErrorResponse(true), unproven -> handleErrorResponse(false));
             } else if (head.framed()) {
+                recordEnd("complete, by its framing");
                 complete();
             } else if (copy == null && move != null && move.stopping()) {
+                recordEnd("left to the move");
                 // The end may only mean that the source has stopped the generation for the move.
                 exchange = null;
                 onMoveFailed = this::endUnframed;
@@ -461,11 +499,38 @@
         private void endUnframed() {
             boolean stopped = stoppedAt != null && stoppedAt.equals(target);
             if (splitter.remainder().length() > 0 || eventsOfEngine == 0 || stopped) {
+                recordEnd("not proven");
                 failed(unprovenEnd(
                         stopped ? "its engine may have stopped it for a move" : "it ends without a complete event"));
                 return;
             }
-            endIfProcessRuns(target, this::complete, this::failed);
+            endIfProcessRuns(
+                    target,
+                    () -> {
+                        recordEnd("complete, its process runs");
+                        complete();
+                    },
+                    unproven -> {
+                        recordEnd("not proven, its process may have ended");
+                        failed(unproven);
+                    });
+        }
+
+        /** Records how the end of the stream was judged, unless its framing and the lack of orders leave no doubt. */
+        private void recordEnd(String verdict) {
+            if (head.framed() && stopOrders.isEmpty()) {
+                return;
+            }
+            Map<String, Object> details = new LinkedHashMap<>();
+            details.put("upstream", run.engine());
+            details.put("run", run.number());
+            details.put("framed", head.framed());
+            details.put("events", eventsOfEngine);
+            details.put("inside_event", splitter.remainder().length() > 0);
+            details.put("orders", stopOrders.evidenceFor(run));
+            details.put("moving", move != null);
+            details.put("verdict", verdict);
+            trace.record(EventCode.STREAM_END_JUDGED, elapsedMillis(), details);
         }
 
         private void complete() {
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -6,6 +6,8 @@
 import coriandersill.events.EventCode;
 import coriandersill.relay.CopyResult;
 import coriandersill.relay.KvCacheCopy;
+import coriandersill.responses.GenerationRun;
+import coriandersill.responses.StopOrder;
 import coriandersill.routing.CallResult;
 import java.time.Duration;
 import java.util.HashSet;
@@ -34,6 +36,7 @@
     private final GenerationCall call;
     private final RelayComponents components;
     private final UpstreamSelector.Selection source;
+    private final GenerationRun sourceRun;
     private final MovePacing pacing;
     private final TargetCriteria criteria;
     private final long startedAtNanos;
@@ -58,6 +61,7 @@
         this.call = call;
         this.components = call.components;
         this.source = source;
+        this.sourceRun = call.currentRun();
         this.pacing = new MovePacing(timeLimit, fullCopyTime(call.plan));
         this.criteria = criteria;
         this.startedAtNanos = components.clock().nanos();
@@ -227,12 +231,19 @@
             stopping = true;
             stoppedAtNanos = components.clock().nanos();
         }
+        if (stop) {
+            call.stopOrdered(sourceRun);
+        }
+        int order = call.stopOrders().last();
         long copyStartedAtNanos = components.clock().nanos();
         UpstreamSelector.Selection copyTarget = target;
         components
                 .engineControl()
                 .copy(source.upstream(), call.plan.request().id(), copyTarget.upstream(), stop)
                 .whenComplete((result, error) -> call.runOnContext(() -> {
+                    if (stop) {
+                        call.stopSettled(order, stateAfter(result, error));
+                    }
                     if (ended || !copyTarget.equals(target)) {
                         return;
                     }
@@ -247,6 +258,18 @@
                 }));
     }
 
+    /** Returns what the answer to an order says of it, or its failure. */
+    private static StopOrder.State stateAfter(CopyResult result, Throwable error) {
+        if (error == null) {
+            return result.status().stopOrderState();
+        }
+        return switch (CallFailure.from(error).kind()) {
+            case UNAVAILABLE -> StopOrder.State.NOT_CARRIED_OUT;
+            case UPSTREAM_ERROR -> StopOrder.State.ANSWERED;
+            default -> StopOrder.State.UNANSWERED;
+        };
+    }
+
     private void handleCopyResult(CopyResult result, boolean stop, Duration took) {
         result.handle().ifPresent(handle -> copy = new KvCacheCopy(source.upstream(), handle));
         call.trace.record(
