Decide about the end of a stream by all evidence at once

Seen by callers: a part of a stream as a complete response, when a generation that had moved was told to stop for its next move, at the moment at which the engine closed the stream; also when that move would have succeeded.

Cause: what was known of an order to stop lay in four places (the move under way, its stopping flag, the engine noted after a failed move, whether the request was a continuation). The end of a continuation consulted none of the move that followed it, so the end of an unframed stream was believed while the order to stop it had no answer.

Evidence: event 434 of a wrong call: run 2, orders UNDECIDED, verdict complete. Ruled out for these cases: an order that outlives its move (its answer came later, from a process that lived) and an engine that had ended (it answered).

Orders belong to a run at an engine and outlive their move; one without an answer also counts against a later run of the call at that engine. After the process was asked, the end is judged again with what has become known meanwhile, and dropped if the call has gone elsewhere.

The own front end's streams end with a marker of their own, and it moves none.

--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -12,6 +12,7 @@
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
+import coriandersill.responses.ProcessEvidence;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.RetryDecision;
@@ -338,22 +339,19 @@
     }
 
     /**
-     * Decides about the end of a response without framing, which only shows that its connection ended, as by a crash:
-     * runs {@code onWhole} if the upstream's process still runs, otherwise passes the failure to {@code onBroken}.
+     * Asks whether the process of an upstream still runs, and passes the answer to {@code onAnswer} unless the call has
+     * ended. The end of a response without framing may only show that its process ended.
      */
-    final void endIfProcessRuns(UpstreamSelector.Selection target, Runnable onWhole, Consumer<CallFailure> onBroken) {
+    final void askWhetherProcessRuns(UpstreamSelector.Selection target, Consumer<ProcessEvidence> onAnswer) {
         components
                 .engineControl()
                 .processState(
                         target.upstream(),
                         !components.upstreams().isQuiet(target.upstream().instance()))
-                .whenComplete((state, error) -> runOnContext(() -> {
-                    if (state == EngineProcessState.RUNNING) {
-                        onWhole.run();
-                    } else {
-                        onBroken.accept(unprovenEnd("the process of its upstream is " + state));
-                    }
-                }));
+                .whenComplete((state, error) -> runOnContext(() -> onAnswer.accept(
+                        state == EngineProcessState.RUNNING
+                                ? ProcessEvidence.RUNNING
+                                : ProcessEvidence.NOT_KNOWN_TO_RUN)));
     }
 
     /** Returns the failure of a response whose end does not show that it is whole. */
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -7,16 +7,17 @@
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.relay.ResponseHead;
 import coriandersill.responses.GenerationRun;
-import coriandersill.responses.StopOrder;
-import coriandersill.responses.StopOrders;
+import coriandersill.responses.ProcessEvidence;
+import coriandersill.responses.StopEvidence;
+import coriandersill.responses.StreamEnd;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.PaceWindow;
 import coriandersill.upstreams.Upstream;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * A call whose response is the event stream of a generation.
@@ -41,6 +42,7 @@
     /** Error responses are short; a longer one is not forwarded. */
     private static final int MAX_ERROR_BODY_BYTES = 64 << 10;
 
+    private final RunHistory runs;
     private ResponseHead pendingHead;
     private boolean headSent;
     private long lastDeliveredEventId;
@@ -48,12 +50,6 @@
     private GenerationMove move;
     private Runnable releaseCurrentMemory = () -> {};
     private boolean recoveryAttempted;
-    private int runCount;
-    private GenerationRun currentRun;
-    private StopOrders stopOrders = StopOrders.NONE;
-
-    /** The engine that may have stopped the generation for a move that failed; null if there is none. */
-    private UpstreamSelector.Selection stoppedAt;
 
     /** Runs if the current move fails; set when the stream ends or breaks during the move, otherwise null. */
     private Runnable onMoveFailed;
@@ -66,6 +62,7 @@
             CallTrace trace,
             long arrivedAtNanos) {
         super(components, plan, body, caller, trace, arrivedAtNanos);
+        this.runs = new RunHistory(trace);
         this.lastDeliveredEventId = plan.request().lastEventId();
     }
 
@@ -205,17 +202,9 @@
         });
     }
 
-    /**
-     * Called when a move has failed: the generation continues on its engine or has ended there.
-     *
-     * @param source the engine that the generation was to leave
-     * @param mayHaveStopped whether that engine may have stopped the generation for the move
-     */
-    void moveFailed(UpstreamSelector.Selection source, boolean mayHaveStopped) {
+    /** Called when a move has failed: the generation continues on its engine or has ended there. */
+    void moveFailed() {
         move = null;
-        if (mayHaveStopped) {
-            stoppedAt = source;
-        }
         Runnable pending = onMoveFailed;
         onMoveFailed = null;
         if (pending != null && !hasEnded()) {
@@ -228,30 +217,9 @@
         }
     }
 
-    /** Returns the latest run; null before the first request is created. */
-    GenerationRun currentRun() {
-        return currentRun;
-    }
-
-    /** Returns the orders to stop runs of this call. */
-    StopOrders stopOrders() {
-        return stopOrders;
-    }
-
-    /** Called right before an engine is told to stop {@code run}; the order is the last of {@link #stopOrders}. */
-    void stopOrdered(GenerationRun run) {
-        stopOrders = stopOrders.ordered(run);
-        trace.keep();
-        trace.record(
-                EventCode.GENERATION_STOP_ORDERED,
-                elapsedMillis(),
-                Map.of("order", stopOrders.last(), "run", run.number(), "engine", run.engine()));
-    }
-
-    /** Called when it is known what became of an order, or that no answer will be received. */
-    void stopSettled(int order, StopOrder.State state) {
-        stopOrders = stopOrders.settled(order, state);
-        trace.record(EventCode.GENERATION_STOP_SETTLED, elapsedMillis(), Map.of("order", order, "state", state));
+    /** Returns the runs of the generation and the orders to stop them. */
+    RunHistory runs() {
+        return runs;
     }
 
     private void forward(EventSplitter.Event event) {
@@ -321,8 +289,7 @@
         private StreamListener(UpstreamSelector.Selection target, KvCacheCopy copy) {
             this.target = target;
             this.copy = copy;
-            this.run = new GenerationRun(++runCount, target.upstream().instance());
-            currentRun = run;
+            this.run = runs.begin(target.upstream().instance());
             releaseCurrentMemory.run();
             releaseCurrentMemory = this::releaseMemory;
         }
@@ -475,62 +442,43 @@
 
         @Override
         public void ended() {
-            if (failure != null && head.framed()) {
-                handleErrorResponse(true);
-            } else if (failure != null) {
-                endIfProcessRuns(target, () -> handleErrorResponse(true), unproven -> handleErrorResponse(false));
+            if (failure == null) {
+                judgeEnd(ProcessEvidence.NOT_ASKED);
             } else if (head.framed()) {
-                recordEnd("complete, by its framing");
-                complete();
-            } else if (copy == null && move != null && move.stopping()) {
-                recordEnd("left to the move");
-                // The end may only mean that the source has stopped the generation for the move.
-                exchange = null;
-                onMoveFailed = this::endUnframed;
+                handleErrorResponse(true);
             } else {
-                endUnframed();
+                askProcess(process -> handleErrorResponse(process == ProcessEvidence.RUNNING));
             }
         }
 
-        /**
-         * Ends a stream without framing. It was broken off if it ends inside an event, if its engine may have stopped
-         * it for a move, or if its engine's process has ended or does not answer.
-         */
-        private void endUnframed() {
-            boolean stopped = stoppedAt != null && stoppedAt.equals(target);
-            if (splitter.remainder().length() > 0 || eventsOfEngine == 0 || stopped) {
-                recordEnd("not proven");
-                failed(unprovenEnd(
-                        stopped ? "its engine may have stopped it for a move" : "it ends without a complete event"));
-                return;
-            }
-            endIfProcessRuns(
-                    target,
-                    () -> {
-                        recordEnd("complete, its process runs");
-                        complete();
-                    },
-                    unproven -> {
-                        recordEnd("not proven, its process may have ended");
-                        failed(unproven);
-                    });
-        }
-
-        /** Records how the end of the stream was judged, unless its framing and the lack of orders leave no doubt. */
-        private void recordEnd(String verdict) {
-            if (head.framed() && stopOrders.isEmpty()) {
-                return;
+        /** Ends the call, or lets a move go on, by all that is known of the end of this run's stream. */
+        private void judgeEnd(ProcessEvidence process) {
+            StreamEnd end = new StreamEnd(
+                    head.framing(),
+                    eventsOfEngine,
+                    splitter.remainder().length() > 0,
+                    runs.stopEvidence(run),
+                    move != null,
+                    process);
+            runs.recordEnd(run, end, elapsedMillis());
+            switch (end.verdict()) {
+                case COMPLETE -> complete();
+                case ASK_PROCESS -> askProcess(this::judgeEnd);
+                case LEFT_TO_MOVE -> {
+                    exchange = null;
+                    onMoveFailed = () -> judgeEnd(process);
+                }
+                default -> failed(unprovenEnd(end.doubt()));
             }
-            Map<String, Object> details = new LinkedHashMap<>();
-            details.put("upstream", run.engine());
-            details.put("run", run.number());
-            details.put("framed", head.framed());
-            details.put("events", eventsOfEngine);
-            details.put("inside_event", splitter.remainder().length() > 0);
-            details.put("orders", stopOrders.evidenceFor(run));
-            details.put("moving", move != null);
-            details.put("verdict", verdict);
-            trace.record(EventCode.STREAM_END_JUDGED, elapsedMillis(), details);
+        }
+
+        /** Passes on the state of the engine's process, unless the call has meanwhile been sent elsewhere. */
+        private void askProcess(Consumer<ProcessEvidence> onAnswer) {
+            askWhetherProcessRuns(target, process -> {
+                if (runs.isLatest(run)) {
+                    onAnswer.accept(process);
+                }
+            });
         }
 
         private void complete() {
@@ -582,9 +530,9 @@
 
         @Override
         public void failed(CallFailure streamFailure) {
-            boolean stoppedForMove =
-                    move != null ? move.mayHaveStopped() : stoppedAt != null && stoppedAt.equals(target);
-            if (streamFailure.kind() != ErrorKind.UNAVAILABLE && !stoppedForMove) {
+            boolean continuing = copy != null && move != null && !firstEventReceived;
+            boolean stopped = runs.stopEvidence(run) != StopEvidence.NONE;
+            if (streamFailure.kind() != ErrorKind.UNAVAILABLE && !continuing && !stopped) {
                 components.crashDetector().connectionBroke(target.upstream(), brokenGeneration());
             }
             handleFailure(streamFailure);
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -7,6 +7,7 @@
 import coriandersill.relay.CopyResult;
 import coriandersill.relay.KvCacheCopy;
 import coriandersill.responses.GenerationRun;
+import coriandersill.responses.StopEvidence;
 import coriandersill.responses.StopOrder;
 import coriandersill.routing.CallResult;
 import java.time.Duration;
@@ -33,6 +34,9 @@
     /** The maximum number of targets tried. */
     private static final int MAX_TARGETS = 4;
 
+    /** The number of a copy command that is no order to stop. */
+    private static final int NO_ORDER = 0;
+
     private final GenerationCall call;
     private final RelayComponents components;
     private final UpstreamSelector.Selection source;
@@ -48,9 +52,6 @@
 
     private boolean stopping;
 
-    /** Whether the source may have carried out an order to stop: it confirmed one, or did not answer it. */
-    private boolean stopUnrefuted;
-
     private boolean streamBroken;
     private boolean ended;
     private long stoppedAtNanos;
@@ -61,7 +62,7 @@
         this.call = call;
         this.components = call.components;
         this.source = source;
-        this.sourceRun = call.currentRun();
+        this.sourceRun = call.runs().latestAt(source.upstream().instance());
         this.pacing = new MovePacing(timeLimit, fullCopyTime(call.plan));
         this.criteria = criteria;
         this.startedAtNanos = components.clock().nanos();
@@ -98,19 +99,6 @@
         return source;
     }
 
-    /** Returns whether the generation was told to stop at the source. */
-    boolean stopping() {
-        return stopping;
-    }
-
-    /**
-     * Returns whether the source may have stopped the generation, so that the end of its stream does not show that the
-     * generation is complete.
-     */
-    boolean mayHaveStopped() {
-        return stopping || stopUnrefuted;
-    }
-
     /** Called when the stream from the source broke: only the state held by the engine can still be moved. */
     void streamBroken() {
         streamBroken = true;
@@ -231,24 +219,21 @@
             stopping = true;
             stoppedAtNanos = components.clock().nanos();
         }
-        if (stop) {
-            call.stopOrdered(sourceRun);
-        }
-        int order = call.stopOrders().last();
+        int order = stop ? call.runs().recordOrder(sourceRun, call.elapsedMillis()) : NO_ORDER;
         long copyStartedAtNanos = components.clock().nanos();
         UpstreamSelector.Selection copyTarget = target;
         components
                 .engineControl()
                 .copy(source.upstream(), call.plan.request().id(), copyTarget.upstream(), stop)
                 .whenComplete((result, error) -> call.runOnContext(() -> {
-                    if (stop) {
-                        call.stopSettled(order, stateAfter(result, error));
+                    if (order != NO_ORDER) {
+                        call.runs().settleOrder(order, stateAfter(result, error), call.elapsedMillis());
                     }
                     if (ended || !copyTarget.equals(target)) {
                         return;
                     }
                     if (error != null) {
-                        handleCopyFailure(CallFailure.from(error), stop);
+                        handleCopyFailure(CallFailure.from(error));
                     } else {
                         handleCopyResult(
                                 result,
@@ -285,9 +270,6 @@
                         "outcome", result.status(),
                         "stopped", stop,
                         "took_ms", took.toMillis()));
-        if (stop && (result.status() == CopyResult.Status.COPIED || result.status() == CopyResult.Status.NO_ROOM)) {
-            stopUnrefuted = true;
-        }
         if (result.status() == CopyResult.Status.COPIED && stop && copy != null) {
             continueOnTarget();
         } else if (result.status() == CopyResult.Status.COPIED) {
@@ -303,7 +285,7 @@
 
     /** Handles the answer that the source runs no such generation: it has not started, or has ended by itself. */
     private void handleNotRunning(boolean stop) {
-        if (stop && !stopUnrefuted) {
+        if (stop && !mayHaveStopped()) {
             stopping = false;
         }
         if (call.hasStarted() || streamBroken) {
@@ -339,9 +321,7 @@
         call.continueOn(target, copy);
     }
 
-    private void handleCopyFailure(CallFailure failure, boolean stop) {
-        // An order that the source may have read can still be carried out.
-        stopUnrefuted |= stop && failure.kind() != ErrorKind.UNAVAILABLE;
+    private void handleCopyFailure(CallFailure failure) {
         if (failure.kind() == ErrorKind.DEADLINE_EXCEEDED && !stopping) {
             recordStepFailure("the copy timed out; stopping the generation before the next copy");
             requestCopy(true);
@@ -357,10 +337,14 @@
             releaseTarget();
             releaseCopy();
             components.metrics().increment("relay.generation.moves_failed");
-            call.moveFailed(source, mayHaveStopped());
+            call.moveFailed();
         }
     }
 
+    private boolean mayHaveStopped() {
+        return call.runs().stopEvidence(sourceRun) != StopEvidence.NONE;
+    }
+
     private void recordStepFailure(String reason) {
         call.trace.record(
                 EventCode.GENERATION_MOVE_HINDERED,
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.relay.ResponseHead;
+import coriandersill.responses.ProcessEvidence;
 import coriandersill.routing.CallResult;
 import io.vertx.core.buffer.Buffer;
 
@@ -97,7 +98,13 @@
                 complete();
                 return;
             }
-            endIfProcessRuns(target, this::complete, this::failed);
+            askWhetherProcessRuns(target, process -> {
+                if (process == ProcessEvidence.RUNNING) {
+                    complete();
+                } else {
+                    failed(unprovenEnd("the process of its upstream may have ended"));
+                }
+            });
         }
 
         private void complete() {
--- /dev/null
+++ b/responses/src/main/java/coriandersill/responses/StreamEnd.java
@@ -0,0 +1,81 @@
+package coriandersill.responses;
+
+import java.util.Objects;
+
+/**
+ * Everything that is known when the stream of a run ends without an error; {@link #verdict} decides whether the
+ * generation is complete.
+ *
+ * <p>Without framing, an engine that completes a generation, one that is told to stop it and one whose process ends all
+ * close the connection, so that the end alone shows nothing.
+ *
+ * @param framing what tells the end of the body from the end of its connection
+ * @param events the number of complete events of this run
+ * @param insideEvent whether bytes of an incomplete event follow the last complete one
+ * @param stop what the orders to stop generations say about this run
+ * @param moving whether a move of the generation is under way
+ * @param process what is known of the engine's process
+ */
+public record StreamEnd(
+        Framing framing, long events, boolean insideEvent, StopEvidence stop, boolean moving, ProcessEvidence process) {
+
+    /** What becomes of the call. */
+    public enum Verdict {
+        /** The generation is complete. */
+        COMPLETE,
+        /** The engine's process must be asked, then the end is judged again. */
+        ASK_PROCESS,
+        /** The move goes on; if it fails, the end is judged again. */
+        LEFT_TO_MOVE,
+        /** The end does not show that the generation is complete; the stream counts as broken. */
+        NOT_PROVEN
+    }
+
+    /**
+     * Checks the arguments.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    public StreamEnd {
+        Objects.requireNonNull(framing, "framing");
+        Objects.requireNonNull(stop, "stop");
+        Objects.requireNonNull(process, "process");
+    }
+
+    /** Returns the decision. */
+    public Verdict verdict() {
+        if (framing == Framing.DELIMITED) {
+            return Verdict.COMPLETE;
+        }
+        if (endsWithoutCompleteEvent()) {
+            return Verdict.NOT_PROVEN;
+        }
+        return switch (stop) {
+            case POSSIBLE -> Verdict.NOT_PROVEN;
+            case UNDECIDED -> moving ? Verdict.LEFT_TO_MOVE : Verdict.NOT_PROVEN;
+            case NONE -> verdictByProcess();
+        };
+    }
+
+    private Verdict verdictByProcess() {
+        return switch (process) {
+            case NOT_ASKED -> Verdict.ASK_PROCESS;
+            case RUNNING -> Verdict.COMPLETE;
+            case NOT_KNOWN_TO_RUN -> Verdict.NOT_PROVEN;
+        };
+    }
+
+    /** Returns why the end shows nothing, for the failure of a stream that is {@link Verdict#NOT_PROVEN}. */
+    public String doubt() {
+        if (endsWithoutCompleteEvent()) {
+            return "it ends without a complete event";
+        }
+        return stop == StopEvidence.NONE
+                ? "the process of its engine may have ended"
+                : "its engine may have stopped it for a move";
+    }
+
+    private boolean endsWithoutCompleteEvent() {
+        return insideEvent || events == 0;
+    }
+}
