Ask a leaving upstream's process only after it had time to shut down

Cause: the end of a response without framing is believed if its process still listens, and the process was asked at once. Of a process that shuts down this says nothing yet.

Change: an upstream that is leaving, or is no longer listed, is asked 100 ms after the end. Ruled out: asking all upstreams later; a process that is killed closes everything at once, and whole plain answers would wait.

TruncatedAnswerTest.aStreamWithoutFramingWhoseLeavingEngineStopsListeningSoon...: red before, green after; the 139 other tests of TruncatedAnswerTest, RepeatedlyMovedStreamTest, EntryTest and MovedGenerationTest green.

--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -50,6 +50,9 @@
     /** How long before its deadline a call fails, so that the response reaches the caller in time. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(10);
 
+    /** Longer than a process that shuts down listens after it has closed its connections. */
+    private static final long SHUTDOWN_MILLIS = 100;
+
     /** How long after the deadline of its call a response may occupy memory that its caller has not read. */
     private static final Duration UNREAD_RESPONSE_TIME = Duration.ofSeconds(1);
 
@@ -340,9 +343,18 @@
 
     /**
      * Asks whether the process of an upstream still runs, and passes the answer to {@code onAnswer} unless the call has
-     * ended. The end of a response without framing may only show that its process ended.
+     * ended. The end of a response without framing may only show that its process ended, or that it is about to: an
+     * upstream that leaves is asked after {@link #SHUTDOWN_MILLIS}.
      */
     final void askWhetherProcessRuns(UpstreamSelector.Selection target, Consumer<ProcessEvidence> onAnswer) {
+        if (components.upstreams().isLeavingOrUnknown(target.upstream().instance())) {
+            runLater(SHUTDOWN_MILLIS, () -> askNow(target, onAnswer));
+        } else {
+            askNow(target, onAnswer);
+        }
+    }
+
+    private void askNow(UpstreamSelector.Selection target, Consumer<ProcessEvidence> onAnswer) {
         components
                 .engineControl()
                 .processState(
