An engine that sends no report is not known to run

Cause: any failure of the request for the report counted as a sign of life, because plain upstreams serve none and busy ones refuse it.

Change: the caller of the check says what it needs. Crash reports and plain upstreams are judged as before.

--- a/relay/src/main/java/coriandersill/relay/EngineControl.java
+++ b/relay/src/main/java/coriandersill/relay/EngineControl.java
@@ -26,12 +26,10 @@
     CompletableFuture<Void> release(KvCacheCopy copy);
 
     /**
-     * Determines whether the process of an upstream still runs; completes with UNKNOWN if its address is silent.
-     *
-     * @param mayRequest whether a request may be sent; otherwise only a connection is opened, which cannot tell a
-     *     process that started later
+     * Determines whether the process of an upstream still runs; completes with UNKNOWN if its address is silent, or if
+     * what answers is not known to be the upstream.
      */
-    CompletableFuture<EngineProcessState> processState(Upstream engine, boolean mayRequest);
+    CompletableFuture<EngineProcessState> processState(Upstream engine, ProcessCheck check);
 
     /** Requests an engine's current load and the time until it shuts down. */
     CompletableFuture<EngineReport> report(Upstream engine);
--- a/relay/src/main/java/coriandersill/relay/EngineProcessState.java
+++ b/relay/src/main/java/coriandersill/relay/EngineProcessState.java
@@ -6,6 +6,6 @@
     RUNNING,
     /** The process has ended: nothing listens on its address, or a process that started later does. */
     ENDED,
-    /** Nothing answered. */
+    /** Nothing answered, or what answered may be another process. */
     UNKNOWN
 }
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -10,6 +10,7 @@
 import coriandersill.quarantine.CallTraits;
 import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.KvCacheCopy;
+import coriandersill.relay.ProcessCheck;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
 import coriandersill.responses.ProcessEvidence;
@@ -357,15 +358,20 @@
     private void askNow(UpstreamSelector.Selection target, Consumer<ProcessEvidence> onAnswer) {
         components
                 .engineControl()
-                .processState(
-                        target.upstream(),
-                        !components.upstreams().isQuiet(target.upstream().instance()))
+                .processState(target.upstream(), processCheck(target))
                 .whenComplete((state, error) -> runOnContext(() -> onAnswer.accept(
                         state == EngineProcessState.RUNNING
                                 ? ProcessEvidence.RUNNING
                                 : ProcessEvidence.NOT_KNOWN_TO_RUN)));
     }
 
+    private ProcessCheck processCheck(UpstreamSelector.Selection target) {
+        if (components.upstreams().isQuiet(target.upstream().instance())) {
+            return ProcessCheck.CONNECTION;
+        }
+        return plan.service().engine().isPresent() ? ProcessCheck.REPORT : ProcessCheck.OPTIONAL_REPORT;
+    }
+
     /** Returns the failure of a response whose end does not show that it is whole. */
     static CallFailure unprovenEnd(String reason) {
         return CallFailure.of(
--- a/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CrashDetector.java
@@ -9,6 +9,7 @@
 import coriandersill.quarantine.PromptQuarantine;
 import coriandersill.relay.EngineControl;
 import coriandersill.relay.EngineProcessState;
+import coriandersill.relay.ProcessCheck;
 import coriandersill.upstreams.Upstream;
 import coriandersill.upstreams.UpstreamTable;
 import coriandersill.workers.WorkerPool;
@@ -89,8 +90,9 @@
     }
 
     private void askEngine(Upstream engine, EngineIncarnation incarnation) {
-        boolean mayRequest = !upstreams.isQuiet(engine.instance());
-        engineControl.processState(engine, mayRequest).whenComplete((state, error) -> {
+        ProcessCheck check =
+                upstreams.isQuiet(engine.instance()) ? ProcessCheck.CONNECTION : ProcessCheck.OPTIONAL_REPORT;
+        engineControl.processState(engine, check).whenComplete((state, error) -> {
             List<BrokenGeneration> broken = lock.with(() -> collecting.remove(incarnation));
             EngineProcessState known = error == null ? state : EngineProcessState.UNKNOWN;
             List<BrokenGeneration> suspects = broken.stream()
