An order given after the end of a stream is no doubt about it

Seen by callers (by a test of the review): a whole stream without framing was broken off, when its engine left as it ended and an order to stop it, given while the engine's process was asked, got no answer.

Change: only the orders that had been given when the stream ended count. OrdersAfterTheEndTest: 2 of 2 cases red before, none after.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -286,6 +286,9 @@
         private long firstEventAtNanos;
         private long eventsOfEngine;
 
+        /** The number of the last order to stop a run that was given before the stream ended. */
+        private int lastOrderBeforeEnd;
+
         private StreamListener(UpstreamSelector.Selection target, KvCacheCopy copy) {
             this.target = target;
             this.copy = copy;
@@ -442,6 +445,7 @@
 
         @Override
         public void ended() {
+            lastOrderBeforeEnd = runs.lastOrder();
             if (failure == null) {
                 judgeEnd(ProcessEvidence.NOT_ASKED);
             } else if (head.framed()) {
@@ -457,7 +461,7 @@
                     head.framing(),
                     eventsOfEngine,
                     splitter.remainder().length() > 0,
-                    runs.stopEvidence(run),
+                    runs.stopEvidence(run, lastOrderBeforeEnd),
                     move != null,
                     process);
             runs.recordEnd(run, end, elapsedMillis());
--- a/relay/src/main/java/coriandersill/relay/internal/RunHistory.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RunHistory.java
@@ -68,6 +68,16 @@
         trace.record(EventCode.GENERATION_STOP_SETTLED, atMillis, Map.of("order", order, "state", state));
     }
 
+    /** Returns the number of the last order, 0 if there is none. */
+    int lastOrder() {
+        return orders.last();
+    }
+
+    /** Returns what the orders up to a number, which were given before the end of {@code run}, say about it. */
+    StopEvidence stopEvidence(GenerationRun run, int lastOrder) {
+        return orders.upTo(lastOrder).evidenceFor(run);
+    }
+
     /** Returns what the orders say about the end of {@code run}. */
     StopEvidence stopEvidence(GenerationRun run) {
         return orders.evidenceFor(run);
--- a/responses/src/main/java/coriandersill/responses/StopOrders.java
+++ b/responses/src/main/java/coriandersill/responses/StopOrders.java
@@ -51,6 +51,11 @@
         return orders.isEmpty();
     }
 
+    /** Returns the orders up to a number, those that had been given when the last of them was. */
+    public StopOrders upTo(int number) {
+        return new StopOrders(orders.subList(0, Math.min(number, orders.size())));
+    }
+
     /** Returns what the orders say about the end of {@code run}. */
     public StopEvidence evidenceFor(GenerationRun run) {
         List<StopOrder> possible =
