A move whose engine is busy or wants no request ends in time

Change: a step is repeated for as long as a stopped generation may wait, or the engine has time left; then the move fails and the end is judged again. OrdersAfterTheEndTest, orders that are not carried out: 2 of 2 red before, none after.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -206,7 +206,7 @@
             return;
         }
         if (components.upstreams().isQuiet(source.upstream().instance())) {
-            call.runLater(RETRY_DELAY_MILLIS, () -> requestCopy(stop));
+            retryStep(() -> requestCopy(stop), "the engine wants no request");
             return;
         }
         InstanceId targetId = target.upstream().instance();
@@ -277,12 +277,22 @@
         } else if (result.status() == CopyResult.Status.NO_RUN) {
             handleNotRunning(stop);
         } else if (result.status() == CopyResult.Status.BUSY) {
-            call.runLater(RETRY_DELAY_MILLIS, this::startNextCopy);
+            retryStep(this::startNextCopy, "another copy of the generation is in progress");
         } else {
             tryNextTarget("the target has no room or is unreachable");
         }
     }
 
+    /** Tries a step again soon, or lets the move fail if its time is over. */
+    private void retryStep(Runnable step, String hindrance) {
+        boolean inTime = stopping ? mayWaitStopped() : !pacing.isOver(elapsed());
+        if (inTime) {
+            call.runLater(RETRY_DELAY_MILLIS, step);
+        } else {
+            fail(hindrance);
+        }
+    }
+
     /** Handles the answer that the source runs no such generation: it has not started, or has ended by itself. */
     private void handleNotRunning(boolean stop) {
         if (stop && !mayHaveStopped()) {
--- a/relay/src/main/java/coriandersill/relay/internal/MovePacing.java
+++ b/relay/src/main/java/coriandersill/relay/internal/MovePacing.java
@@ -40,6 +40,11 @@
         return elapsed.toNanos() > timeLimit.toNanos() * STOP_TIME_FRACTION;
     }
 
+    /** Returns whether the engine has probably shut down. */
+    boolean isOver(Duration elapsed) {
+        return elapsed.compareTo(timeLimit) > 0;
+    }
+
     /** Returns whether a generation that has been stopped for {@code sinceStop} still waits for a target. */
     boolean mayWaitStopped(Duration sinceStop) {
         return sinceStop.compareTo(MAX_STOPPED_TIME) < 0;
