A generation that is being moved may run

Seen by callers (by a test of the review): an entry that stops answered 503 with Retry-After, which promises that a call has not run, for a generation whose stream had broken before its first event while it was moved; its engine ran it.

Cause: a call without an exchange with an upstream was taken for one that no upstream has. Change: a move counts. OrdersAfterTheEndTest, the entry that stops: red before, 502 after.

--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -142,6 +142,9 @@
     /** Returns whether an engine has begun to generate, so that the call itself does not crash engines. */
     abstract boolean hasBegun();
 
+    /** Returns whether an engine may still run the call although no response to it is read, as while it is moved. */
+    abstract boolean mayRunWithoutExchange();
+
     /** Returns a listener for the exchange with {@code target}. */
     abstract UpstreamExchange.Listener createListener(UpstreamSelector.Selection target);
 
@@ -653,7 +656,7 @@
 
     /** Fails the call wherever it is; states that it has not run only if no upstream has it or had it. */
     private void giveUp(CallFailure failure) {
-        boolean notRun = exchange == null && ranBefore == Ran.NO;
+        boolean notRun = exchange == null && ranBefore == Ran.NO && !mayRunWithoutExchange();
         cancelExchange(failure.kind());
         fail(failure.withRan(notRun ? Ran.NO : Ran.UNKNOWN));
     }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -81,6 +81,11 @@
         return eventCount > 0;
     }
 
+    @Override
+    boolean mayRunWithoutExchange() {
+        return move != null;
+    }
+
     @Override
     long unresumableEvents() {
         return plan.route().resumable() ? 0 : eventCount;
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -39,6 +39,11 @@
         return false;
     }
 
+    @Override
+    boolean mayRunWithoutExchange() {
+        return false;
+    }
+
     @Override
     long unresumableEvents() {
         return 0;
