A stream to an HTTP/1.0 caller is broken off by a reset

Seen by callers (by a test of the review): a response in HTTP/1.0 has no chunks, so that one that was broken off, which closed its connection, looked complete.

Change: the connection is reset. BelievedStreamEndTest, the caller without chunks: closed before, reset after. The own front end is not changed.

--- a/relay/src/main/java/coriandersill/relay/internal/CallerConnection.java
+++ b/relay/src/main/java/coriandersill/relay/internal/CallerConnection.java
@@ -2,11 +2,14 @@
 
 import coriandersill.core.CallFailure;
 import coriandersill.relay.ResponseHead;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.impl.HttpServerConnection;
 import java.time.Duration;
 import java.util.Locale;
@@ -182,12 +185,25 @@
             return;
         }
         if (response.headWritten()) {
-            close(() -> request.connection().close());
+            close(this::breakOff);
         } else {
             close(() -> sendFailure(failure, timeLeft));
         }
     }
 
+    /** Ends a response visibly before its end; without chunks, only a reset shows that it is not complete. */
+    private void breakOff() {
+        if (request.version() == HttpVersion.HTTP_1_0) {
+            Channel channel = ((HttpServerConnection) request.connection())
+                    .channelHandlerContext()
+                    .channel();
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        } else {
+            request.connection().close();
+        }
+    }
+
     private void sendFailure(CallFailure failure, Duration timeLeft) {
         int status = HttpStatuses.status(failure);
         // A part of an upstream's head may have been set before its rest was found invalid.
