An answer about a process is dropped once its call is taken back

Seen by callers (by a test of the review): a resumable generation was sent to two engines at once, and its caller got events of both until the stream was cut. Its first engine had answered with an unframed error and began to leave while its process was asked; the call was taken back and sent elsewhere, then the answer about the process did the same once more.

Change: the answer counts only while the exchange that it is about is still the call's. AnswerAfterARestartTest: red before, also on; green after.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -481,10 +481,13 @@
             }
         }
 
-        /** Passes on the state of the engine's process, unless the call has meanwhile been sent elsewhere. */
+        /**
+         * Passes on the state of the engine's process, unless the call has meanwhile been taken back or sent elsewhere.
+         */
         private void askProcess(Consumer<ProcessEvidence> onAnswer) {
+            UpstreamExchange ended = exchange;
             askWhetherProcessRuns(target, process -> {
-                if (runs.isLatest(run)) {
+                if (exchange == ended && runs.isLatest(run)) {
                     onAnswer.accept(process);
                 }
             });
