Let explain tell the runs, orders and judged ends of a generation

explain has a column `meaning`: which run was sent to which engine, the number of the move, what became of each order to stop a run, and by which evidence each end was judged. It tells a second move, an order whose answer was lost, an order that outlives its move and an engine whose process had ended apart; a line of another version has no meaning there.

Lines: `run` in 404, 405, 406, 407 and 408, `framing` in 407 and 408, `events` in 400 and 410. 434 was left out when a stream without framing was believed after its process was asked, so that the line ASK_PROCESS had no conclusion; it is written now, as its description says.

Metrics: relay.generation.unframed_ends.VERDICT.

By reading: an order adds two lines, each end of an unframed or stopped stream one; all other lines of a moved call are those that one call in 16 writes anyway. A call with m moves of c copies each writes 5 + m * (6 + c) lines.

--- a/cli/src/main/java/coriandersill/cli/internal/ExplainCommand.java
+++ b/cli/src/main/java/coriandersill/cli/internal/ExplainCommand.java
@@ -1,6 +1,7 @@
 package coriandersill.cli.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
@@ -8,6 +9,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -51,25 +53,35 @@
         }
         String call = arguments.get(0);
         List<JsonNode> events = new ArrayList<>(EventLines.read(arguments.subList(1, arguments.size()), "call", call));
-        events.sort(
-                Comparator.comparing((JsonNode event) -> event.path("instance").asText())
-                        .thenComparingLong(event -> event.path("at_ms").asLong()));
+        events.sort(Comparator.comparing(ExplainCommand::instance)
+                .thenComparingLong(event -> event.path("at_ms").asLong()));
         if (events.isEmpty()) {
             output.printFailure("no event of call " + call
                     + " found in these files; only a sample of the successful calls is logged");
             return ExitCode.FAILED;
         }
+        Map<String, GenerationExplainer> explainers = new HashMap<>();
         output.printRows(events.stream()
-                .map(event -> Output.row()
-                        .put("at_ms", event.path("at_ms").asText())
-                        .put("instance", event.path("instance").asText())
-                        .put("event", event.path("event").asText())
-                        .put("text", event.path("text").asText())
-                        .put("inputs", formatInputs(event)))
+                .map(event ->
+                        callRow(event, explainers.computeIfAbsent(instance(event), id -> new GenerationExplainer())))
                 .toList());
         return ExitCode.OK;
     }
 
+    private static ObjectNode callRow(JsonNode event, GenerationExplainer explainer) {
+        return Output.row()
+                .put("at_ms", event.path("at_ms").asText())
+                .put("instance", instance(event))
+                .put("event", event.path("event").asText())
+                .put("text", event.path("text").asText())
+                .put("meaning", explainer.next(event))
+                .put("inputs", formatInputs(event));
+    }
+
+    private static String instance(JsonNode event) {
+        return event.path("instance").asText();
+    }
+
     private ExitCode explainUpstream(Output output) {
         if (arguments.isEmpty()) {
             throw new IllegalArgumentException("explain --upstream: expected at least one log file, found none");
--- a/cli/src/test/java/coriandersill/cli/ExplainTest.java
+++ b/cli/src/test/java/coriandersill/cli/ExplainTest.java
@@ -6,6 +6,8 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -18,6 +20,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 final class ExplainTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
     @TempDir
     Path directory;
 
@@ -40,6 +44,90 @@
         assertThat(text, not(containsString("other")));
     }
 
+    /** Guards against an operator who cannot tell why the stream of a call that moved twice was believed or not. */
+    @Test
+    void theRunsOrdersAndJudgedEndsOfACallThatMovedTwiceAreExplained() throws IOException {
+        String log = write(
+                event(404, 1, "upstream", "e0", "run", "1"),
+                event(420, 20, "engine", "e0"),
+                event(432, 38, "order", "1", "run", "1", "engine", "e0"),
+                unframedEnd(38, "e0", "1", "NOT_ASKED", "LEFT_TO_MOVE"),
+                event(433, 240, "order", "1", "state", "ANSWERED"),
+                event(404, 241, "upstream", "e2", "run", "2"),
+                event(420, 260, "engine", "e2"),
+                event(432, 283, "order", "2", "run", "2", "engine", "e2"),
+                unframedEnd(284, "e2", "2", "NOT_ASKED", "LEFT_TO_MOVE"),
+                event(433, 490, "order", "2", "state", "UNANSWERED"),
+                unframedEnd(490, "e2", "2", "NOT_ASKED", "NOT_PROVEN"),
+                event(400, 491, "failure", "GENERATION_INTERRUPTED"));
+
+        assertThat(
+                meanings("c1", log),
+                contains(
+                        "run 1 at e0",
+                        "move 1 of the call, away from e0",
+                        "order 1 to stop run 1 at e0",
+                        "run 1 at e0 ended, order 1 to stop it has no answer yet: the move decides",
+                        "order 1 was answered, e0 may have stopped run 1",
+                        "run 2 at e2",
+                        "move 2 of the call, away from e2",
+                        "order 2 to stop run 2 at e2",
+                        "run 2 at e2 ended, order 2 to stop it has no answer yet: the move decides",
+                        "order 2 was lost, e2 may carry it out later, also on a later run of the call",
+                        "run 2 at e2 ended, order 2 to stop it was lost: not proven to be complete",
+                        ""));
+    }
+
+    @Test
+    void anOrderThatOutlivesItsMoveIsNamedWhereALaterRunAtTheSameEngineBeginsAndEnds() throws IOException {
+        String log = write(
+                event(404, 1, "upstream", "e0", "run", "1"),
+                event(432, 38, "order", "1", "run", "1", "engine", "e0"),
+                event(433, 240, "order", "1", "state", "UNANSWERED"),
+                event(404, 300, "upstream", "e0", "run", "2"),
+                unframedEnd(400, "e0", "2", "NOT_ASKED", "NOT_PROVEN"));
+
+        List<String> meanings = meanings("c1", log);
+
+        assertThat(meanings.get(3), is("run 2 at e0, which may still carry out order 1"));
+        assertThat(
+                meanings.get(4),
+                is("run 2 at e0 ended, order 1 for run 1 at the same engine outlived its move and may have stopped"
+                        + " it: not proven to be complete"));
+    }
+
+    @Test
+    void theEndOfAnEnginesProcessIsToldApartFromAnOrder() throws IOException {
+        String log = write(
+                event(404, 1, "upstream", "e0", "run", "1"),
+                unframedEnd(400, "e0", "1", "NOT_ASKED", "ASK_PROCESS"),
+                unframedEnd(410, "e0", "1", "NOT_KNOWN_TO_RUN", "NOT_PROVEN"));
+
+        assertThat(
+                meanings("c1", log).subList(1, 3),
+                contains(
+                        "run 1 at e0 ended, no order can have stopped it: its process is asked",
+                        "run 1 at e0 ended, no order can have stopped it, the engine's process has ended or could not"
+                                + " be asked: not proven to be complete"));
+    }
+
+    @Test
+    void anOrderWithoutAnAnswerAtTheEndOfItsCallIsNamedThere() throws IOException {
+        String log = write(event(432, 38, "order", "1", "run", "1", "engine", "e0"), event(410, 50, "last_event", "7"));
+
+        assertThat(meanings("c1", log).get(1), is("before an answer to order 1"));
+    }
+
+    @Test
+    void anEventOfAnotherVersionIsPrintedWithoutAMeaning() throws IOException {
+        String log = write(
+                event(432, 1, "order", "1", "engine", "e0"),
+                event(433, 2, "order", "1", "state", "OTHER"),
+                event(434, 3, "verdict", "OTHER"));
+
+        assertThat(meanings("c1", log), contains("", "", ""));
+    }
+
     @Test
     void aCallThatIsInNoFileIsReportedAsNotFound() throws IOException {
         Path log = directory.resolve("entry.log");
@@ -93,6 +181,48 @@
         assertThat(explain(1, "--upstream", "u1", log.toString()), containsString("u1 says nothing of itself"));
     }
 
+    private String write(String... lines) throws IOException {
+        return Files.writeString(directory.resolve("entry.log"), String.join("\n", lines))
+                .toString();
+    }
+
+    /** Returns a line of call c1 with fields that are given as names and values. */
+    private static String event(int number, int atMillis, String... fields) {
+        ObjectNode line = MAPPER.createObjectNode()
+                .put("event", number)
+                .put("instance", "entry")
+                .put("call", "c1")
+                .put("at_ms", Integer.toString(atMillis));
+        for (int i = 0; i < fields.length; i += 2) {
+            line.put(fields[i], fields[i + 1]);
+        }
+        return line.toString();
+    }
+
+    private static String unframedEnd(int atMillis, String engine, String run, String process, String verdict) {
+        return event(
+                434,
+                atMillis,
+                "upstream",
+                engine,
+                "run",
+                run,
+                "framing",
+                "CONNECTION_END",
+                "events",
+                "1",
+                "inside_event",
+                "false",
+                "process",
+                process,
+                "verdict",
+                verdict);
+    }
+
+    private static List<String> meanings(String call, String log) throws IOException {
+        return MAPPER.readTree(explain(0, "--json", call, log)).findValuesAsText("meaning");
+    }
+
     private static String explain(int expectedStatus, String... arguments) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -313,17 +313,14 @@
                 .inService(target.upstream().instance())
                 .filter(upstream -> components.rollouts().permits(upstream.service(), upstream.version()))
                 .isPresent();
-        trace.record(
-                inService ? EventCode.CALL_SENT : EventCode.CALL_HELD_BACK,
-                elapsedMillis(),
-                Map.of(
-                        "upstream", target.upstream().instance(),
-                        "zone", target.upstream().zone(),
-                        "attempt", sendCount,
-                        "selected_ms_ago", millisSince(selectedAtNanos),
-                        "listings_age_ms", components.upstreams().listingsAge().toMillis(),
-                        "last_event", lastEventId(),
-                        "time_left_ms", timeLeft().toMillis()));
+        Map<String, Object> details = attemptDetails(target);
+        details.put("zone", target.upstream().zone());
+        details.put("attempt", sendCount);
+        details.put("selected_ms_ago", millisSince(selectedAtNanos));
+        details.put("listings_age_ms", components.upstreams().listingsAge().toMillis());
+        details.put("last_event", lastEventId());
+        details.put("time_left_ms", timeLeft().toMillis());
+        trace.record(inService ? EventCode.CALL_SENT : EventCode.CALL_HELD_BACK, elapsedMillis(), details);
         if (ended) {
             return false;
         }
@@ -395,8 +392,7 @@
         RetryDecision decision = sendCount >= MAX_SENDS
                 ? new RetryDecision.GiveUp("sent to " + sendCount + " upstreams", failure.withRan(ranBefore))
                 : retryPolicy.decide(attempt);
-        Map<String, Object> details = new LinkedHashMap<>();
-        details.put("upstream", target.upstream().instance());
+        Map<String, Object> details = attemptDetails(target);
         details.put("failure", failure.kind());
         details.put("ran", failure.ran());
         details.put("detail", failure.getMessage());
@@ -438,15 +434,12 @@
         exchange = null;
         recordResult(selection, CallResult.failed(ErrorKind.DRAINING));
         excluded.add(selection.upstream().instance());
-        trace.record(
-                EventCode.CALL_ATTEMPT_FAILED,
-                elapsedMillis(),
-                Map.of(
-                        "upstream", selection.upstream().instance(),
-                        "failure", failure.kind(),
-                        "ran", failure.ran(),
-                        "detail", reason,
-                        "outcome", "taken back"));
+        Map<String, Object> details = attemptDetails(selection);
+        details.put("failure", failure.kind());
+        details.put("ran", failure.ran());
+        details.put("detail", reason);
+        details.put("outcome", "taken back");
+        trace.record(EventCode.CALL_ATTEMPT_FAILED, elapsedMillis(), details);
         components.metrics().increment("relay.repeated");
         findUpstream();
     }
@@ -456,16 +449,12 @@
         components.upstreams().markUnreachable(target.upstream().instance());
         sendCount--;
         unreachableCount++;
-        trace.record(
-                EventCode.CALL_ATTEMPT_FAILED,
-                elapsedMillis(),
-                Map.of(
-                        "upstream", target.upstream().instance(),
-                        "failure", failure.kind(),
-                        "ran", failure.ran(),
-                        "detail", String.valueOf(failure.getMessage()),
-                        "outcome",
-                                unreachableCount < MAX_UNREACHABLE_UPSTREAMS ? "trying another upstream" : "given up"));
+        Map<String, Object> details = attemptDetails(target);
+        details.put("failure", failure.kind());
+        details.put("ran", failure.ran());
+        details.put("detail", failure.getMessage());
+        details.put("outcome", unreachableCount < MAX_UNREACHABLE_UPSTREAMS ? "trying another upstream" : "given up");
+        trace.record(EventCode.CALL_ATTEMPT_FAILED, elapsedMillis(), details);
         if (unreachableCount < MAX_UNREACHABLE_UPSTREAMS) {
             findUpstream();
         } else {
@@ -473,6 +462,17 @@
         }
     }
 
+    /** Returns the details that name an attempt at {@code target} in the trace; more may be added. */
+    private Map<String, Object> attemptDetails(UpstreamSelector.Selection target) {
+        Map<String, Object> details = new LinkedHashMap<>();
+        details.put("upstream", target.upstream().instance());
+        details.putAll(runDetails(target));
+        return details;
+    }
+
+    /** Returns the details of the latest run at {@code target}, for the trace; empty for a call without runs. */
+    abstract Map<String, ?> runDetails(UpstreamSelector.Selection target);
+
     /** Returns the number of events delivered to the caller; 0 if another run can resume the stream after them. */
     abstract long unresumableEvents();
 
@@ -547,6 +547,7 @@
                         "ran", failure.ran(),
                         "detail", String.valueOf(failure.getMessage()),
                         "connection_cut", caller.hasBegun(),
+                        "events", deliveredEvents(),
                         "catalog", plan.catalogVersion()));
         caller.fail(failure, timeLeft());
         finish(true);
@@ -585,7 +586,10 @@
 
     private void callerDisconnected() {
         if (!ended) {
-            trace.record(EventCode.CALLER_LEFT, elapsedMillis(), Map.of("last_event", lastEventId()));
+            trace.record(
+                    EventCode.CALLER_LEFT,
+                    elapsedMillis(),
+                    Map.of("last_event", lastEventId(), "events", deliveredEvents()));
             cancelExchange(ErrorKind.CANCELLED);
             finish(false);
         }
--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -62,7 +62,7 @@
             CallTrace trace,
             long arrivedAtNanos) {
         super(components, plan, body, caller, trace, arrivedAtNanos);
-        this.runs = new RunHistory(trace);
+        this.runs = new RunHistory(trace, components.metrics()::countUnframedEnd);
         this.lastDeliveredEventId = plan.request().lastEventId();
     }
 
@@ -91,6 +91,11 @@
         return eventCount;
     }
 
+    @Override
+    Map<String, ?> runDetails(UpstreamSelector.Selection target) {
+        return Map.of("run", runs.latestAt(target.upstream().instance()).number());
+    }
+
     @Override
     void releaseResources() {
         if (selection != null) {
@@ -237,7 +242,12 @@
             trace.record(
                     EventCode.CALL_FIRST_EVENT,
                     elapsedMillis(),
-                    Map.of("upstream", selection.upstream().instance()));
+                    Map.of(
+                            "upstream", selection.upstream().instance(),
+                            "run",
+                                    runs.latestAt(selection.upstream().instance())
+                                            .number(),
+                            "framing", pendingHead.framing()));
         }
         write(event.bytes());
     }
@@ -507,12 +517,11 @@
                     EventCode.CALL_ANSWERED,
                     elapsedMillis(),
                     Map.of(
-                            "status",
-                            head.status(),
-                            "events",
-                            eventCount,
-                            "upstream",
-                            target.upstream().instance()));
+                            "status", head.status(),
+                            "events", eventCount,
+                            "upstream", target.upstream().instance(),
+                            "run", run.number(),
+                            "framing", head.framing()));
             finish(false);
         }
 
--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -7,6 +7,7 @@
 import coriandersill.responses.ProcessEvidence;
 import coriandersill.routing.CallResult;
 import io.vertx.core.buffer.Buffer;
+import java.util.Map;
 
 /** A call whose response is buffered and validated as a whole before any of it is sent to the caller. */
 final class PlainCall extends AbstractCall {
@@ -44,6 +45,11 @@
         return 0;
     }
 
+    @Override
+    Map<String, ?> runDetails(UpstreamSelector.Selection target) {
+        return Map.of();
+    }
+
     @Override
     long deliveredEvents() {
         return 0;
--- a/relay/src/main/java/coriandersill/relay/internal/RelayMetrics.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RelayMetrics.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import coriandersill.core.ErrorKind;
+import coriandersill.responses.StreamEnd;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -36,6 +37,11 @@
         increment("relay.failed." + kind.name().toLowerCase(Locale.ROOT));
     }
 
+    /** Counts a stream whose end is that of its connection, by what was decided of it. */
+    void countUnframedEnd(StreamEnd.Verdict verdict) {
+        increment("relay.generation.unframed_ends." + verdict.name().toLowerCase(Locale.ROOT));
+    }
+
     void increment(String name) {
         registry.counter(name).inc();
     }
--- a/relay/src/main/java/coriandersill/relay/internal/RunHistory.java
+++ b/relay/src/main/java/coriandersill/relay/internal/RunHistory.java
@@ -2,6 +2,7 @@
 
 import coriandersill.core.InstanceId;
 import coriandersill.events.EventCode;
+import coriandersill.responses.Framing;
 import coriandersill.responses.GenerationRun;
 import coriandersill.responses.StopEvidence;
 import coriandersill.responses.StopOrder;
@@ -11,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The runs of one generation and the orders to stop them, which are written to the call's trace.
@@ -19,11 +21,18 @@
  */
 final class RunHistory {
     private final CallTrace trace;
+    private final Consumer<StreamEnd.Verdict> unframedEnds;
     private final List<GenerationRun> runs = new ArrayList<>();
     private StopOrders orders = StopOrders.NONE;
 
-    RunHistory(CallTrace trace) {
+    /**
+     * Creates a history without runs.
+     *
+     * @param unframedEnds receives each decision about the end of a stream without framing
+     */
+    RunHistory(CallTrace trace, Consumer<StreamEnd.Verdict> unframedEnds) {
         this.trace = trace;
+        this.unframedEnds = unframedEnds;
     }
 
     /** Records that the generation begins or continues at {@code engine}; returns the new run. */
@@ -75,9 +84,13 @@
 
     /** Records how the end of a stream was judged, unless its framing and the lack of orders leave no doubt. */
     void recordEnd(GenerationRun run, StreamEnd end, long atMillis) {
-        if (end.verdict() == StreamEnd.Verdict.COMPLETE && orders.isEmpty()) {
+        boolean framed = end.framing() == Framing.DELIMITED;
+        if (framed && orders.isEmpty()) {
             return;
         }
+        if (!framed && end.verdict() != StreamEnd.Verdict.ASK_PROCESS) {
+            unframedEnds.accept(end.verdict());
+        }
         Map<String, Object> details = new LinkedHashMap<>();
         details.put("upstream", run.engine());
         details.put("run", run.number());
--- a/responses/src/main/java/coriandersill/responses/StopOrder.java
+++ b/responses/src/main/java/coriandersill/responses/StopOrder.java
@@ -43,7 +43,7 @@
      * run of the call at the same engine, if it may still be carried out, since an order names the call and not the
      * run.
      */
-    boolean mayHaveStopped(GenerationRun other) {
+    public boolean mayHaveStopped(GenerationRun other) {
         if (run.equals(other)) {
             return state != State.NOT_CARRIED_OUT;
         }
