--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -86,7 +86,10 @@
     CALL_REFUSED(409, Level.INFO, "call refused"),
     /** The caller disconnected before the response was complete. */
     CALLER_LEFT(410, Level.INFO, "caller disconnected"),
-    /** The trace of a call reached its maximum length; further decisions were not recorded. */
+    /**
+     * The trace of a call is longer than its maximum length; decisions between its first and last ones were not
+     * recorded.
+     */
     CALL_LINES_DROPPED(411, Level.WARNING, "trace of a call truncated"),
     /** A generation was refused because a part of its prompt has crashed engines; the details give the evidence. */
     CALL_QUARANTINED(412, Level.INFO, "call refused, its prompt has crashed engines"),
