Split the links to peers into their jobs

PeerLinks held the table of links with its lock, the selection of peers, the conversions of listings and identities to members, and the listeners.

Entry's tests and EndToEndTest, IdempotencyTest, StepErrorTest, EntryDrainTest, SidecarWireTest, SeparateProcessesTest, ZoneAndRolloutTest and SourceRulesTest: green.

--- a/entry/src/main/java/coriandersill/entry/internal/PeerLinks.java
+++ b/entry/src/main/java/coriandersill/entry/internal/PeerLinks.java
@@ -2,10 +2,6 @@
 
 import coriandersill.core.InstanceId;
 import coriandersill.core.ManagedService;
-import coriandersill.core.ServiceName;
-import coriandersill.core.VersionName;
-import coriandersill.core.lock.LockRank;
-import coriandersill.core.lock.RankedLock;
 import coriandersill.events.EventCode;
 import coriandersill.events.LoopGuard;
 import coriandersill.membership.ConnectionPlan;
@@ -20,14 +16,11 @@
 import coriandersill.sharedlog.ListedInstance;
 import coriandersill.wire.Message;
 import coriandersill.wire.PeerIdentity;
-import coriandersill.wire.WireClient;
 import coriandersill.wire.WireConnection;
 import coriandersill.wire.WireEventLoops;
 import coriandersill.wire.WireListener;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,13 +30,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Maintains links to the sidecars and entries that the connection plan selects among the members.
+ * Maintains links to the sidecars and entries that the connection plan selects among the members, and passes on what
+ * they say.
  *
- * <p>Links are guarded by a lock of rank {@link LockRank#MEMBERSHIP}.
+ * <p>Thread-safe.
  */
 final class PeerLinks implements ManagedService {
-    private static final String SIDECAR_ROLE = "sidecar";
-    private static final int MAX_FULL_MESH_PEERS = 32;
     private static final long LIST_POLL_INTERVAL_MILLIS = 1_000;
 
     /** Longer than a read of the list that is not answered. */
@@ -52,16 +44,14 @@
     private static final Duration PING_STALL_BOUND = Duration.ofSeconds(10);
 
     private final EntryContext entry;
-    private final WireEventLoops loops;
     private final InstanceList instanceList;
     private final MembershipTable members;
-    private final ConnectionPlan plan;
+    private final PeerSelection selection;
     private final SidecarDirectory directory;
     private final CallService calls;
     private final Optional<WireListener> peerListener;
-    private final RankedLock lock = RankedLock.of(LockRank.MEMBERSHIP);
     private final AtomicLong pingSequence = new AtomicLong();
-    private final Map<InstanceId, PeerLink> links = new HashMap<>();
+    private final LinkTable links;
     private final Set<WireConnection> connections = ConcurrentHashMap.newKeySet();
     private final LoopGuard listGuard;
     private final LoopGuard pingGuard;
@@ -80,20 +70,18 @@
             CallService calls,
             Optional<WireListener> peerListener) {
         this.entry = entry;
-        this.loops = loops;
         this.instanceList = instanceList;
         this.members = members;
-        this.plan = plan;
+        this.selection = new PeerSelection(plan, entry.settings().wire().self());
         this.directory = directory;
         this.calls = calls;
         this.peerListener = peerListener;
+        this.links = new LinkTable(entry, loops, calls);
         this.listGuard = entry.loops().registerEssential("reads of the instance list", LIST_STALL_BOUND);
         this.pingGuard = entry.loops().register("pings to peers", PING_STALL_BOUND);
         this.timeoutGuard = entry.loops().register("checks for silent peers", PING_STALL_BOUND);
     }
 
-    private record PeerLink(String host, int port, WireClient client) {}
-
     @Override
     public CompletableFuture<Void> start() {
         listGuard.begin();
@@ -113,7 +101,7 @@
         listGuard.rest();
         pingGuard.rest();
         timeoutGuard.rest();
-        lock.run(() -> links.values().forEach(link -> link.client().stop(grace)));
+        links.stop(grace);
         return CompletableFuture.completedFuture(null);
     }
 
@@ -163,51 +151,29 @@
 
     private void applyInstanceList(List<ListedInstance> listed) {
         List<ListedMember> listedMembers =
-                listed.stream().map(PeerLinks::toListedMember).toList();
+                listed.stream().map(MemberFactory::listed).toList();
         ListUpdateResult result = members.updateFromList(listedMembers);
         onMemberChanges(result.changes());
         List<Member> entries = members.connectable(Role.ENTRY);
         List<Member> sidecars = members.connectable(Role.SIDECAR);
-        Set<InstanceId> wanted = new HashSet<>(plan.sidecarsFor(self(), withSelf(entries), sidecars));
-        wanted.addAll(selectEntries(entries));
         List<Member> connectable = new ArrayList<>(sidecars);
         connectable.addAll(entries);
-        lock.run(() -> {
-            connectable.stream().filter(member -> wanted.contains(member.id())).forEach(this::openLink);
-            closeUnwantedLinks(connectable, wanted);
-        });
+        links.update(connectable, selection.select(entries, sidecars), new LinkListener());
         listApplied = true;
         if (!result.isPlausible()) {
             entry.events().record(EventCode.INSTANCE_LIST_DOUBTED, Map.of("why", result.retentionReason()));
         }
     }
 
-    /**
-     * Selects all other entries if there are at most {@link #MAX_FULL_MESH_PEERS} entries, otherwise the peers that the
-     * plan selects.
-     */
-    private Set<InstanceId> selectEntries(List<Member> entries) {
-        InstanceId self = self().id();
-        Set<InstanceId> wanted = new HashSet<>();
-        if (entries.size() <= MAX_FULL_MESH_PEERS) {
-            entries.forEach(member -> wanted.add(member.id()));
-        } else {
-            wanted.addAll(plan.peersFor(self(), withSelf(entries)));
-        }
-        wanted.remove(self);
-        return wanted;
-    }
-
     List<InstanceId> entries() {
-        return withSelf(members.connectable(Role.ENTRY)).stream()
+        return selection.withSelf(members.connectable(Role.ENTRY)).stream()
                 .map(Member::id)
                 .sorted()
                 .toList();
     }
 
     boolean sendTo(InstanceId instance, Message message) {
-        Optional<WireConnection> open = lock.with(() -> Optional.ofNullable(links.get(instance)))
-                .flatMap(link -> link.client().connection());
+        Optional<WireConnection> open = links.connectionTo(instance);
         open.ifPresent(connection -> connection.send(message));
         return open.isPresent();
     }
@@ -217,33 +183,6 @@
         return new AcceptedConnectionListener();
     }
 
-    private static ListedMember toListedMember(ListedInstance instance) {
-        Role role = instance.role().equals(SIDECAR_ROLE) ? Role.SIDECAR : Role.ENTRY;
-        Member member = new Member(
-                instance.id(),
-                role,
-                instance.zone(),
-                instance.host(),
-                instance.port(),
-                instance.service(),
-                instance.version());
-        return new ListedMember(member, instance.leaving());
-    }
-
-    private Member self() {
-        PeerIdentity self = entry.settings().wire().self();
-        return new Member(self.instance(), Role.ENTRY, self.zone(), "", 0, Optional.empty(), Optional.empty());
-    }
-
-    private List<Member> withSelf(List<Member> entries) {
-        Member self = self();
-        List<Member> all = new ArrayList<>(entries);
-        if (all.stream().noneMatch(member -> member.id().equals(self.id()))) {
-            all.add(self);
-        }
-        return all;
-    }
-
     private void checkTimeouts() {
         onMemberChanges(members.checkTimeouts());
     }
@@ -271,59 +210,6 @@
         }
     }
 
-    private void openLink(Member member) {
-        PeerLink existing = links.get(member.id());
-        if (existing != null && existing.host().equals(member.host()) && existing.port() == member.port()) {
-            return;
-        }
-        if (existing != null) {
-            existing.client().stop(Duration.ZERO);
-        }
-        WireClient client = WireClient.create(
-                entry.settings().wire(),
-                loops,
-                member.host(),
-                member.port(),
-                new LinkListener(),
-                entry.random(),
-                entry.loops());
-        links.put(member.id(), new PeerLink(member.host(), member.port(), client));
-        client.start();
-    }
-
-    /**
-     * Closes links that the plan no longer selects, once no open call uses them. A link to an instance that is draining
-     * or gone stays until its connection ends.
-     */
-    private void closeUnwantedLinks(List<Member> connectable, Set<InstanceId> wanted) {
-        Set<InstanceId> connectableIds = new HashSet<>();
-        connectable.forEach(member -> connectableIds.add(member.id()));
-        links.entrySet().removeIf(existing -> {
-            boolean deselected = connectableIds.contains(existing.getKey()) && !wanted.contains(existing.getKey());
-            boolean disconnected = !connectableIds.contains(existing.getKey())
-                    && existing.getValue().client().connection().isEmpty();
-            if ((deselected && calls.hasNoCallsAt(existing.getKey())) || disconnected) {
-                existing.getValue().client().stop(Duration.ZERO);
-                return true;
-            }
-            return false;
-        });
-    }
-
-    /** Returns the member at the other end of a link, with the address of the link. */
-    private Member toMember(PeerIdentity peer) {
-        boolean sidecar = peer.role().equals(SIDECAR_ROLE);
-        Optional<PeerLink> link = lock.with(() -> Optional.ofNullable(links.get(peer.instance())));
-        return new Member(
-                peer.instance(),
-                sidecar ? Role.SIDECAR : Role.ENTRY,
-                peer.zone(),
-                link.map(PeerLink::host).orElse(""),
-                link.map(PeerLink::port).orElse(0),
-                sidecar ? Optional.of(ServiceName.of(peer.service())) : Optional.empty(),
-                sidecar ? Optional.of(VersionName.of(peer.version())) : Optional.empty());
-    }
-
     /** Listens on connections opened by other entries: sends pings to them and passes messages to the peer listener. */
     private final class AcceptedConnectionListener implements WireListener {
         @Override
@@ -377,7 +263,8 @@
             PeerIdentity peer = connection.peer();
             entry.workers().executeOrRun(() -> {
                 directory.onPing(connection, ping);
-                onMemberChanges(members.connected(toMember(peer), peer.incarnation()));
+                onMemberChanges(members.connected(
+                        MemberFactory.connected(peer, links.find(peer.instance())), peer.incarnation()));
                 if (ping.draining()) {
                     onMemberChanges(members.drainAnnounced(peer.instance(), peer.incarnation()));
                 }
