Take only a response with a final status for an answer

Seen by callers: an upstream answered with status 000. On plain routes that may run once, and on streams, the platform's entry passed it on, signed ("HTTP/1.1 0 Unknown Status (0)"). With X-Coriandersill-Not-Executed beside it, the request was sent to a second upstream and then answered 503, not run. The continuation of a moved generation counted as refused and was sent 20 to 26 times in 2.5 s. The product's sidecar and entry passed the status on. The same for 1, 20, 99, 101, 102, 199, 600, 999 and 1000.

Cause: nothing asked whether a status is one of the protocol. What was no success was an error of the upstream, forwarded as it is, and every header beside it was believed.

Ruled out: status lines that cannot be read, without a status, or of another version (they broke the exchange before); HTTP/2 (both front ends speak HTTP/1.1 to upstreams).

Change: ResponseStatus (RFC 9110, section 15) decides in the library responses. Any other status counts as a broken connection: outcome unknown, no header read, connection closed. It works because whoever reads a header, a load or a refusal is only called after that question; an order answered so counts as one that may still be carried out.

--- a/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
+++ b/entry/src/main/java/coriandersill/entry/internal/CallDriver.java
@@ -10,6 +10,7 @@
 import coriandersill.events.EventCode;
 import coriandersill.quarantine.EngineIncarnation;
 import coriandersill.quarantine.QuarantineDecision;
+import coriandersill.responses.ResponseStatus;
 import coriandersill.routing.AttemptFailure;
 import coriandersill.routing.CallResult;
 import coriandersill.routing.RetryDecision;
@@ -255,8 +256,7 @@
         } else if (message instanceof Message.Finished finished) {
             onFinished(finished);
         } else if (message instanceof Message.PlainResponse response) {
-            sink.onResponse(response);
-            end(Optional.of(response), Optional.empty());
+            onResponse(response);
         } else if (message instanceof Message.Refused refused) {
             retryOrFail(CallFailure.of(refused.kind(), refused.text())
                     .withRan(Ran.NO)
@@ -266,6 +266,17 @@
         }
     }
 
+    /** Passes on a response of the upstream; a sidecar of an earlier version also sends one that is no answer. */
+    private void onResponse(Message.PlainResponse response) {
+        if (!ResponseStatus.isAnswer(response.status())) {
+            retryOrFail(CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, ResponseStatus.describeNoAnswer(response.status()))
+                    .withRan(Ran.UNKNOWN));
+            return;
+        }
+        sink.onResponse(response);
+        end(Optional.of(response), Optional.empty());
+    }
+
     private void onTokens(Message.Tokens tokens) {
         waitingForResume = false;
         List<byte[]> payloads = tokens.payloads();
--- a/relay/src/main/java/coriandersill/relay/internal/UpstreamExchange.java
+++ b/relay/src/main/java/coriandersill/relay/internal/UpstreamExchange.java
@@ -7,6 +7,7 @@
 import coriandersill.relay.CallCodec;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
+import coriandersill.responses.ResponseStatus;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -40,7 +41,7 @@
         /** Called before the request is written; returns false to cancel the exchange without sending it. */
         boolean beforeSend();
 
-        /** Called when the response's status and headers have been received. */
+        /** Called when the status and headers of a final response (200 to 599) have been received. */
         void head(ResponseHead head);
 
         /** Called when a part of the response body has been received. */
@@ -149,6 +150,12 @@
         if (closed) {
             return;
         }
+        if (!ResponseStatus.isAnswer(received.statusCode())) {
+            fail(CallFailure.of(ErrorKind.OUTCOME_UNKNOWN, ResponseStatus.describeNoAnswer(received.statusCode()))
+                    .withRan(Ran.UNKNOWN));
+            request.reset();
+            return;
+        }
         response = received;
         received.exceptionHandler(this::connectionBroken);
         received.handler(bytes -> {
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
+import coriandersill.responses.ResponseStatus;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireConnection;
 import io.vertx.core.Context;
@@ -121,6 +122,12 @@
     }
 
     private void onHead(HttpClientResponse response) {
+        if (!ResponseStatus.isAnswer(response.statusCode())) {
+            request.reset();
+            String text = ResponseStatus.describeNoAnswer(response.statusCode());
+            end(failure(ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN, text), false);
+            return;
+        }
         dispatcher.upstreamCondition().observe(response.statusCode(), response.headers());
         if (response.statusCode() == STATUS_OK) {
             readEvents(response);
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
+import coriandersill.responses.ResponseStatus;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireConnection;
 import io.vertx.core.Context;
@@ -90,14 +91,22 @@
             if (response.failed()) {
                 onConnectionLost(response.cause());
             } else {
-                HttpClientResponse received = response.result();
-                dispatcher.upstreamCondition().observe(received.statusCode(), received.headers());
-                readResponse(received);
+                onHead(response.result());
             }
         }));
         UpstreamClient.send(request, call.dispatch());
     }
 
+    private void onHead(HttpClientResponse response) {
+        if (!ResponseStatus.isAnswer(response.statusCode())) {
+            request.reset();
+            onConnectionLost(new IllegalStateException(ResponseStatus.describeNoAnswer(response.statusCode())));
+            return;
+        }
+        dispatcher.upstreamCondition().observe(response.statusCode(), response.headers());
+        readResponse(response);
+    }
+
     private void readResponse(HttpClientResponse response) {
         Buffer body = Buffer.buffer();
         response.exceptionHandler(error -> call.guard().run(() -> onConnectionLost(error)));
