Do not explain an end by the engine's process if its order's line is missing

explain worked out from the lines 432 and 433 which order may have stopped a run. If 411 stands for them, it said that no order can have, and named the process. The line 434 itself has what the orders said; explain goes by it.

ExplainTest, a case with 411 in place of the order.

--- a/cli/src/main/java/coriandersill/cli/internal/GenerationExplainer.java
+++ b/cli/src/main/java/coriandersill/cli/internal/GenerationExplainer.java
@@ -6,6 +6,7 @@
 import coriandersill.responses.Framing;
 import coriandersill.responses.GenerationRun;
 import coriandersill.responses.ProcessEvidence;
+import coriandersill.responses.StopEvidence;
 import coriandersill.responses.StopOrder;
 import coriandersill.responses.StreamEnd;
 import java.util.Arrays;
@@ -118,10 +119,19 @@
             return " without an event";
         }
         List<StopOrder> possible = ordersThatMayStop(run);
-        if (possible.isEmpty()) {
-            return ", no order can have stopped it" + describeProcess(event);
+        if (!possible.isEmpty()) {
+            return possible.stream().map(order -> describe(order, run)).collect(Collectors.joining());
         }
-        return possible.stream().map(order -> describe(order, run)).collect(Collectors.joining());
+        return isUnknownOrderPossible(event)
+                ? ", an order that is not among these lines may have stopped it"
+                : ", no order can have stopped it" + describeProcess(event);
+    }
+
+    /** Returns whether the end was judged by an order, whose lines are missing. */
+    private static boolean isUnknownOrderPossible(JsonNode event) {
+        return constant(StopEvidence.class, text(event, "orders"))
+                .filter(evidence -> evidence != StopEvidence.NONE)
+                .isPresent();
     }
 
     private static String describeProcess(JsonNode event) {
--- a/cli/src/test/java/coriandersill/cli/ExplainTest.java
+++ b/cli/src/test/java/coriandersill/cli/ExplainTest.java
@@ -51,14 +51,14 @@
                 event(404, 1, "upstream", "e0", "run", "1"),
                 event(420, 20, "engine", "e0"),
                 event(432, 38, "order", "1", "run", "1", "engine", "e0"),
-                unframedEnd(38, "e0", "1", "NOT_ASKED", "LEFT_TO_MOVE"),
+                unframedEnd(38, "e0", "1", "UNDECIDED", "NOT_ASKED", "LEFT_TO_MOVE"),
                 event(433, 240, "order", "1", "state", "ANSWERED"),
                 event(404, 241, "upstream", "e2", "run", "2"),
                 event(420, 260, "engine", "e2"),
                 event(432, 283, "order", "2", "run", "2", "engine", "e2"),
-                unframedEnd(284, "e2", "2", "NOT_ASKED", "LEFT_TO_MOVE"),
+                unframedEnd(284, "e2", "2", "UNDECIDED", "NOT_ASKED", "LEFT_TO_MOVE"),
                 event(433, 490, "order", "2", "state", "UNANSWERED"),
-                unframedEnd(490, "e2", "2", "NOT_ASKED", "NOT_PROVEN"),
+                unframedEnd(490, "e2", "2", "POSSIBLE", "NOT_ASKED", "NOT_PROVEN"),
                 event(400, 491, "failure", "GENERATION_INTERRUPTED"));
 
         assertThat(
@@ -85,7 +85,7 @@
                 event(432, 38, "order", "1", "run", "1", "engine", "e0"),
                 event(433, 240, "order", "1", "state", "UNANSWERED"),
                 event(404, 300, "upstream", "e0", "run", "2"),
-                unframedEnd(400, "e0", "2", "NOT_ASKED", "NOT_PROVEN"));
+                unframedEnd(400, "e0", "2", "POSSIBLE", "NOT_ASKED", "NOT_PROVEN"));
 
         List<String> meanings = meanings("c1", log);
 
@@ -100,8 +100,8 @@
     void theEndOfAnEnginesProcessIsToldApartFromAnOrder() throws IOException {
         String log = write(
                 event(404, 1, "upstream", "e0", "run", "1"),
-                unframedEnd(400, "e0", "1", "NOT_ASKED", "ASK_PROCESS"),
-                unframedEnd(410, "e0", "1", "NOT_KNOWN_TO_RUN", "NOT_PROVEN"));
+                unframedEnd(400, "e0", "1", "NONE", "NOT_ASKED", "ASK_PROCESS"),
+                unframedEnd(410, "e0", "1", "NONE", "NOT_KNOWN_TO_RUN", "NOT_PROVEN"));
 
         assertThat(
                 meanings("c1", log).subList(1, 3),
@@ -118,6 +118,20 @@
         assertThat(meanings("c1", log).get(1), is("before an answer to order 1"));
     }
 
+    /** Guards against an engine that is blamed for what an order did whose line was dropped from a long trace. */
+    @Test
+    void anEndThatWasJudgedByAnOrderWithoutALineIsNotExplainedByTheEnginesProcess() throws IOException {
+        String log = write(
+                event(404, 1, "upstream", "e0", "run", "1"),
+                event(411, 50, "lines", "4"),
+                unframedEnd(60, "e0", "1", "POSSIBLE", "NOT_ASKED", "NOT_PROVEN"));
+
+        assertThat(
+                meanings("c1", log).get(2),
+                is("run 1 at e0 ended, an order that is not among these lines may have stopped it:"
+                        + " not proven to be complete"));
+    }
+
     @Test
     void anEventOfAnotherVersionIsPrintedWithoutAMeaning() throws IOException {
         String log = write(
@@ -199,7 +213,8 @@
         return line.toString();
     }
 
-    private static String unframedEnd(int atMillis, String engine, String run, String process, String verdict) {
+    private static String unframedEnd(
+            int atMillis, String engine, String run, String orders, String process, String verdict) {
         return event(
                 434,
                 atMillis,
@@ -213,6 +228,8 @@
                 "1",
                 "inside_event",
                 "false",
+                "orders",
+                orders,
                 "process",
                 process,
                 "verdict",
