Take only chunks and a length for the framing of a body

Seen by callers: an answer with Transfer-Encoding: identity whose upstream's process ended in the middle of its body arrived as a whole one, with 200 and the signature; a stream ended as complete after its first event. The product's sidecar did the same.

Cause: HeaderCodec and the sidecar's PlainCall took any Transfer-Encoding for framing. One other than chunks does not delimit a body (RFC 9112, section 6.3): it ends with its connection, and then the upstream's process must be asked.

Ruled out, by a trial of 30 combinations of headers against the HTTP client: chunks beside other codings and in any letter case (read as chunks; cut ones break), a length cut short (breaks), lengths that are malformed or contradict each other in HTTP/1.1 (break), 204 and 304 (no body is read, whatever the headers).

Change: Framing.of decides in the library responses, for both front ends, as the client reads: chunks, a length without any transfer coding, or a status without a body. It works because all else now goes through the question whether the process runs.

--- a/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
@@ -50,11 +50,20 @@
         sidecar.close();
     }
 
-    /** Guards against an upstream that crashes while it sends a response without a length. */
-    @Test
-    void aResponseWithoutFramingWhoseUpstreamEndsIsNotDelivered() {
+    /** Guards against an upstream that crashes while it sends a response without a length or chunks. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "Transfer-Encoding: identity\r\n",
+                "Transfer-Encoding: gzip\r\n",
+                "Transfer-Encoding: xchunked\r\n",
+                "Transfer-Encoding: chunked;q=1\r\n",
+                "Transfer-Encoding:\r\n"
+            })
+    void aResponseWithoutFramingWhoseUpstreamEndsIsNotDelivered(String header) {
         answer = socket -> {
-            socket.write("HTTP/1.1 200 OK\r\n\r\nhalf of the te");
+            socket.write("HTTP/1.1 200 OK\r\n" + header + "\r\nhalf of the te");
             upstream.close().onComplete(closed -> socket.close());
         };
 
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
+import coriandersill.responses.Framing;
 import coriandersill.responses.ResponseStatus;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireConnection;
@@ -124,9 +125,11 @@
 
     /** Without framing, the end of the body only shows that its connection ended, as by a crash of the upstream. */
     private void onBodyEnd(HttpClientResponse response, Buffer body) {
-        boolean framed = response.headers().contains(HttpHeaders.CONTENT_LENGTH)
-                || response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
-        if (framed) {
+        Framing framing = Framing.of(
+                response.statusCode(),
+                response.headers().getAll(HttpHeaders.TRANSFER_ENCODING),
+                response.headers().contains(HttpHeaders.CONTENT_LENGTH));
+        if (framing == Framing.DELIMITED) {
             onResponse(response, body);
             return;
         }
