Soak with engines that leave in series and streams without framing

The kind "moves" lets engines leave one soon after the other, some gone 0.3 to 1.5 s after their notice, some serving on for 3 to 8 s. Framing, length and the outcome of each order to stop are drawn by seed, call and engine. Its engines are reached through a link that passes on the end of a stream at once: the proxy held it back by 300 ms, longer than most orders take, so that the entry had its answer first. The link refuses connections before it closes the open ones, as the end of a process does; a Vert.x server does it the other way round.

StreamChecker takes the length of a generation and its last event from the engines, for all kinds. The load generator lost the status of calls that were broken off, so that no events of theirs were checked; it keeps it now. Streams that were broken off although nothing hindered them are counted and printed.

--- a/soak/src/main/java/coriandersill/soak/FaultKind.java
+++ b/soak/src/main/java/coriandersill/soak/FaultKind.java
@@ -91,6 +91,32 @@
         EngineShape engineShape() {
             return STOPS.engineShape();
         }
+    },
+    /**
+     * Engines that leave one soon after the other while they stream, in chunks, with a length or without either, and
+     * whose answers to orders to stop a generation are late, lost or refusals.
+     */
+    MOVES {
+        @Override
+        FaultSeries series(Target target, Random random, long seed) {
+            return new MoveSeries(target.environment(), random);
+        }
+
+        @Override
+        Load load(Target target, Random random) {
+            return new LoadGenerator(
+                    target.environment(), target.entries(), target.disturbances(), random, CallPattern.LONG_STREAMS);
+        }
+
+        @Override
+        EngineShape engineShape() {
+            return EngineShape.DIRECT;
+        }
+
+        @Override
+        EngineBehaviors engineBehaviors(long seed) {
+            return engineId -> new DrawnBehavior(seed, engineId);
+        }
     };
 
     /** What faults act on; the proxies to the store are in the order of the entries. */
@@ -113,11 +139,17 @@
 
     /** Returns the calls that are made beside the faults. */
     Load load(Target target, Random random) {
-        return new LoadGenerator(target.environment(), target.entries(), target.disturbances(), random);
+        return new LoadGenerator(
+                target.environment(), target.entries(), target.disturbances(), random, CallPattern.MIXED);
     }
 
     /** Returns how the engines are. */
     EngineShape engineShape() {
         return EngineShape.WIDE;
     }
+
+    /** Returns what the engines do with generations, which depends on the seed alone. */
+    EngineBehaviors engineBehaviors(long seed) {
+        return EngineBehaviors.REGULAR;
+    }
 }
--- a/soak/src/main/java/coriandersill/soak/LoadGenerator.java
+++ b/soak/src/main/java/coriandersill/soak/LoadGenerator.java
@@ -16,11 +16,6 @@
 
 /** Sends calls of random kinds to random entries over persistent connections and records the results. */
 final class LoadGenerator implements Load {
-    private static final List<CallKind> KINDS = List.of(CallKind.values());
-    private static final long CALL_INTERVAL_MILLIS = 12;
-    private static final Duration PLAIN_TIMEOUT = Duration.ofMillis(900);
-    private static final Duration STREAM_TIMEOUT = Duration.ofSeconds(4);
-
     /** How much longer than the longest call timeout to wait for open calls. */
     private static final Duration STOP_MARGIN = Duration.ofSeconds(4);
 
@@ -33,6 +28,7 @@
     private final List<EntryProcess> entries;
     private final DisturbanceTracker disturbances;
     private final Random random;
+    private final CallPattern pattern;
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(1))
@@ -43,7 +39,12 @@
     private int nextCallNumber;
 
     LoadGenerator(
-            SoakEnvironment environment, List<EntryProcess> entries, DisturbanceTracker disturbances, Random random) {
+            SoakEnvironment environment,
+            List<EntryProcess> entries,
+            DisturbanceTracker disturbances,
+            Random random,
+            CallPattern pattern) {
+        this.pattern = pattern;
         this.environment = environment;
         this.entries = entries;
         this.disturbances = disturbances;
@@ -52,14 +53,14 @@
 
     @Override
     public void start() {
-        timer.scheduleAtFixedRate(this::sendNextCall, 0, CALL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        timer.scheduleAtFixedRate(this::sendNextCall, 0, pattern.intervalMillis(), TimeUnit.MILLISECONDS);
     }
 
     @Override
     public List<CallResult> stop() throws InterruptedException {
         timer.shutdown();
         long deadlineNanos =
-                System.nanoTime() + STREAM_TIMEOUT.plus(STOP_MARGIN).toNanos();
+                System.nanoTime() + pattern.longestTimeout().plus(STOP_MARGIN).toNanos();
         while (openCalls.get() > 0 && System.nanoTime() < deadlineNanos) {
             TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
         }
@@ -68,12 +69,12 @@
 
     @Override
     public Duration maxAnswerTime(CallKind kind) {
-        return kind.streaming() ? STREAM_TIMEOUT : PLAIN_TIMEOUT;
+        return pattern.timeout(kind);
     }
 
     private void sendNextCall() {
         EntryProcess entry = entries.get(random.nextInt(entries.size()));
-        CallKind kind = KINDS.get(random.nextInt(KINDS.size()));
+        CallKind kind = pattern.kinds().get(random.nextInt(pattern.kinds().size()));
         List<String> keys = List.copyOf(environment.workspacesOfAllKeys().keySet());
         String key = keys.get(random.nextInt(keys.size()));
         String id = "c" + nextCallNumber++;
@@ -83,12 +84,16 @@
         long sentAtNanos = System.nanoTime();
         boolean entrySettled = disturbances.isSettled(entry.name());
         StringBuilder received = new StringBuilder();
+        // Kept apart from the response, which a call that is broken off does not have.
+        AtomicInteger status = new AtomicInteger();
         openCalls.incrementAndGet();
         CompletableFuture<HttpResponse<Void>> pending = client.sendAsync(
-                PlatformFixtures.callRequest(entry.port(), kind.path() + id, id, key, timeout, body),
-                HttpResponse.BodyHandlers.ofByteArrayConsumer(
-                        bytes -> bytes.filter(part -> received.length() < MAX_KEPT_CHARACTERS)
-                                .ifPresent(part -> received.append(new String(part, StandardCharsets.ISO_8859_1)))));
+                PlatformFixtures.callRequest(entry.port(), kind.path() + id, id, key, timeout, body), head -> {
+                    status.set(head.statusCode());
+                    return HttpResponse.BodySubscribers.ofByteArrayConsumer(
+                            bytes -> bytes.filter(part -> received.length() < MAX_KEPT_CHARACTERS)
+                                    .ifPresent(part -> received.append(new String(part, StandardCharsets.ISO_8859_1))));
+                });
         pending.whenComplete((response, failure) -> {
             results.add(new CallResult(
                     id,
@@ -98,7 +103,7 @@
                     sentAtNanos,
                     System.nanoTime(),
                     entrySettled,
-                    response == null ? 0 : response.statusCode(),
+                    status.get(),
                     failure == null,
                     received.toString()));
             openCalls.decrementAndGet();
--- a/soak/src/main/java/coriandersill/soak/ResultChecker.java
+++ b/soak/src/main/java/coriandersill/soak/ResultChecker.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Checks the records of callers and upstreams against the guarantees of the system. */
+/**
+ * Checks the records of callers and upstreams against the guarantees of the system; {@link StreamChecker} has those on
+ * the events of streams.
+ */
 final class ResultChecker {
     /** The time within which settled entries must act on a revoked key or on an upstream that is listed as leaving. */
     private static final Duration MAX_REACTION_TIME = Duration.ofMillis(2_300);
@@ -88,43 +91,14 @@
     }
 
     private void checkResponse(CallResult call) {
-        if (call.status() != STATUS_OK) {
+        if (call.status() != STATUS_OK || call.kind().streaming() || !call.complete()) {
             return;
         }
-        if (!call.kind().streaming()) {
-            String expectedBody = Upstream.responseBody(call.id());
-            if (call.complete() && !call.body().equals(expectedBody)) {
-                violations.add("response of another call: " + call + ": expected \"" + expectedBody + "\", found \""
-                        + call.body() + "\"");
-            }
-            return;
-        }
-        List<String> events = events(call);
-        List<String> expected = StandInUpstream.fullStream();
-        if (events.size() > expected.size() || !events.equals(expected.subList(0, events.size()))) {
-            violations.add("events missing, repeated or out of order: " + call + ": " + firstLines(events));
-        }
-        if (call.complete() && events.size() < expected.size()) {
-            violations.add(
-                    "stream ended normally after " + events.size() + " of " + expected.size() + " events: " + call);
-        }
-    }
-
-    private static List<String> firstLines(List<String> events) {
-        return events.stream()
-                .map(event -> event.lines().findFirst().orElse(""))
-                .toList();
-    }
-
-    private static List<String> events(CallResult call) {
-        List<String> events = new ArrayList<>();
-        String body = call.body();
-        int start = 0;
-        for (int end = body.indexOf("\n\n"); end >= 0; end = body.indexOf("\n\n", start)) {
-            events.add(body.substring(start, end));
-            start = end + 2;
+        String expectedBody = Upstream.responseBody(call.id());
+        if (!call.body().equals(expectedBody)) {
+            violations.add("response of another call: " + call + ": expected \"" + expectedBody + "\", found \""
+                    + call.body() + "\"");
         }
-        return events;
     }
 
     private void checkApiKey(CallResult call, List<Run> runs) {
--- a/soak/src/main/java/coriandersill/soak/Soak.java
+++ b/soak/src/main/java/coriandersill/soak/Soak.java
@@ -72,7 +72,7 @@
         DisturbanceTracker disturbances = DisturbanceTracker.of(System::nanoTime);
         List<EntryProcess> entries = new ArrayList<>();
         List<LoopbackProxy> storeProxies = new ArrayList<>();
-        try (SoakEnvironment environment = SoakEnvironment.start(kind.engineShape())) {
+        try (SoakEnvironment environment = SoakEnvironment.start(kind.engineShape(), kind.engineBehaviors(seed))) {
             kind.prepare(environment);
             for (int i = 0; i < entryCount; i++) {
                 LoopbackProxy proxy = LoopbackProxy.to(
@@ -118,6 +118,7 @@
         List<CallResult> calls = slowdowns.withoutSlowed(allCalls);
         violations.addAll(ResultChecker.violations(
                 calls, environment.upstreams(), environment.revokedAtNanos(), environment.workspacesOfAllKeys()));
+        violations.addAll(StreamChecker.violations(calls, environment.upstreams()));
         violations.addAll(StatementChecker.violations(calls, environment.upstreams(), disturbances));
         violations.addAll(LossChecker.violations(allCalls, environment.upstreams(), disturbances, load::maxAnswerTime));
         violations.addAll(DrainChecker.violations(allCalls, environment.upstreams(), disturbances));
@@ -138,6 +139,7 @@
         }
         List<String> summaries = new ArrayList<>(monitor.summary());
         summaries.add(slowdowns.summary());
+        summaries.addAll(StreamSummary.lines(allCalls, environment.upstreams(), disturbances, load::maxAnswerTime));
         summaries.add("calls to which time limits apply: "
                 + calls.stream().filter(CallResult::entrySettled).count() + " of " + calls.size());
         summaries.add("connections that ended without a complete answer, for whatever reason: "
--- a/soak/src/main/java/coriandersill/soak/SoakCommand.java
+++ b/soak/src/main/java/coriandersill/soak/SoakCommand.java
@@ -37,7 +37,8 @@
 
     @Option(
             name = "--kind",
-            description = "kind of faults: general, departures, expiries, floods, stops or overlaps (default general)")
+            description =
+                    "kind of faults: general, departures, expiries, floods, stops, overlaps or moves (default general)")
     private String kind = FaultKind.GENERAL.name();
 
     @Option(
--- a/soak/src/main/java/coriandersill/soak/SoakEnvironment.java
+++ b/soak/src/main/java/coriandersill/soak/SoakEnvironment.java
@@ -34,17 +34,19 @@
     private final Map<String, Long> addedAtNanos = new ConcurrentHashMap<>();
     private final Map<String, Long> revokedAtNanos = new ConcurrentHashMap<>();
     private final EngineShape shape;
+    private final EngineBehaviors behaviors;
     private long configurationVersion;
     private int nextId;
 
-    private SoakEnvironment(EngineShape shape) throws Exception {
+    private SoakEnvironment(EngineShape shape, EngineBehaviors behaviors) throws Exception {
         this.shape = shape;
+        this.behaviors = behaviors;
         store = StandInStore.start(vertx);
     }
 
-    /** Starts an environment whose engines have a shape. */
-    static SoakEnvironment start(EngineShape shape) throws Exception {
-        SoakEnvironment environment = new SoakEnvironment(shape);
+    /** Starts an environment whose engines have a shape and behaviors. */
+    static SoakEnvironment start(EngineShape shape, EngineBehaviors behaviors) throws Exception {
+        SoakEnvironment environment = new SoakEnvironment(shape, behaviors);
         for (int i = 0; i < INITIAL_COUNT; i++) {
             environment.addKey();
             environment.addUpstream(Upstream.PLAIN_SERVICE);
@@ -95,7 +97,8 @@
     }
 
     synchronized void addUpstream(String service) throws Exception {
-        Upstream upstream = Upstream.start(vertx, "u" + nextId++, service, shape);
+        String id = "u" + nextId++;
+        Upstream upstream = Upstream.start(vertx, id, service, shape, behaviors.of(id));
         upstreams.add(upstream);
         publishListing(upstream);
     }
@@ -113,7 +116,7 @@
                 upstream.id(),
                 PlatformFixtures.listing(
                         upstream.service(),
-                        upstream.proxy().port(),
+                        upstream.port(),
                         upstream.isListedAsLeaving(),
                         upstream.service().equals(Upstream.ENGINE_SERVICE)
                                 ? Math.min(shape.slots(), MAX_LISTED_SLOTS)
--- a/soak/src/main/java/coriandersill/soak/Upstream.java
+++ b/soak/src/main/java/coriandersill/soak/Upstream.java
@@ -1,11 +1,14 @@
 package coriandersill.soak;
 
 import coriandersill.platform.EndlessResponse;
+import coriandersill.platform.FixedBehavior;
+import coriandersill.platform.GenerationBehavior;
 import coriandersill.platform.PlatformFixtures;
 import coriandersill.platform.StandInUpstream;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -33,6 +36,10 @@
     private final boolean endless;
     private final StandInUpstream server;
     private final LoopbackProxy proxy;
+
+    /** The way to an engine without the proxy. */
+    private final Optional<DirectLink> directLink;
+
     private final Set<String> refused = ConcurrentHashMap.newKeySet();
     private final List<Statement> statements = new CopyOnWriteArrayList<>();
     private volatile long leavingAtNanos = Long.MAX_VALUE;
@@ -45,16 +52,21 @@
     /** The quiet time that each call is refused with, in seconds; 0 if calls are served. */
     private volatile int quietSeconds;
 
-    private Upstream(Vertx vertx, String id, String service, EngineShape shape) throws Exception {
+    private Upstream(Vertx vertx, String id, String service, EngineShape shape, GenerationBehavior behavior)
+            throws Exception {
         this.id = id;
         this.service = service;
         this.endless = false;
         this.server = service.equals(ENGINE_SERVICE)
-                ? StandInUpstream.startEngine(vertx, shape.slots(), shape.maxWaiting(), shape.eventIntervalMillis())
+                ? StandInUpstream.startEngine(
+                        vertx, shape.slots(), shape.maxWaiting(), shape.eventIntervalMillis(), behavior)
                 : StandInUpstream.start(
                         vertx,
                         (request, socket) -> vertx.setTimer(PROCESSING_MILLIS, timer -> respond(request, socket)));
         this.proxy = LoopbackProxy.to(vertx, server.port());
+        this.directLink = service.equals(ENGINE_SERVICE) && !shape.proxied()
+                ? Optional.of(DirectLink.to(server.port()))
+                : Optional.empty();
     }
 
     /** Creates an upstream whose responses never end. */
@@ -68,6 +80,7 @@
                 vertx,
                 (request, socket) -> responses[calls.getAndIncrement() % responses.length].writeTo(socket, vertx));
         this.proxy = LoopbackProxy.to(vertx, server.port());
+        this.directLink = Optional.empty();
     }
 
     /** Starts an upstream whose responses never end, each in another part than the one before. */
@@ -76,12 +89,13 @@
     }
 
     static Upstream start(Vertx vertx, String id, String service) throws Exception {
-        return start(vertx, id, service, EngineShape.WIDE);
+        return start(vertx, id, service, EngineShape.WIDE, FixedBehavior.DEFAULT);
     }
 
-    /** Starts an upstream; the shape is that of an engine. */
-    static Upstream start(Vertx vertx, String id, String service, EngineShape shape) throws Exception {
-        return new Upstream(vertx, id, service, shape);
+    /** Starts an upstream; the shape and the behavior are those of an engine. */
+    static Upstream start(Vertx vertx, String id, String service, EngineShape shape, GenerationBehavior behavior)
+            throws Exception {
+        return new Upstream(vertx, id, service, shape, behavior);
     }
 
     private void respond(StandInUpstream.ReceivedRequest request, NetSocket socket) {
@@ -148,6 +162,11 @@
         return server;
     }
 
+    /** The port at which entries reach it. */
+    int port() {
+        return directLink.map(DirectLink::port).orElseGet(proxy::port);
+    }
+
     LoopbackProxy proxy() {
         return proxy;
     }
@@ -234,6 +253,7 @@
 
     void close() {
         closedAtNanos = System.nanoTime();
+        directLink.ifPresent(DirectLink::close);
         proxy.close();
         try {
             server.close();
--- a/soak/src/test/java/coriandersill/soak/ResultCheckerTest.java
+++ b/soak/src/test/java/coriandersill/soak/ResultCheckerTest.java
@@ -7,7 +7,6 @@
 import static org.hamcrest.Matchers.is;
 
 import coriandersill.platform.PlatformFixtures;
-import coriandersill.platform.StandInUpstream;
 import io.vertx.core.Vertx;
 import java.net.http.HttpClient;
 import java.net.http.HttpResponse;
@@ -58,15 +57,9 @@
         return ResultChecker.violations(List.of(calls), List.of(upstream), Map.of(), Map.of("key-1", "workspace-1"));
     }
 
-    private static String streamEvents(int from, int to) {
-        return String.join("\n\n", StandInUpstream.fullStream().subList(from, to)) + "\n\n";
-    }
-
     @Test
     void correctResultsHaveNoViolations() {
         assertThat(violations(result(CallKind.BOOK, 200, true, "done c7")), is(empty()));
-        assertThat(violations(result(CallKind.DRAFT, 200, false, streamEvents(0, 4))), is(empty()));
-        assertThat(violations(result(CallKind.DRAFT, 200, true, streamEvents(0, 30))), is(empty()));
     }
 
     @Test
@@ -99,23 +92,6 @@
                 hasItem(containsString("response of another call")));
     }
 
-    @Test
-    void aMissingOrRepeatedEventIsDetected() {
-        assertThat(
-                violations(result(CallKind.DRAFT, 200, false, streamEvents(0, 3) + streamEvents(4, 6))),
-                hasItem(containsString("out of order")));
-        assertThat(
-                violations(result(CallKind.DRAFT, 200, false, streamEvents(0, 3) + streamEvents(2, 6))),
-                hasItem(containsString("out of order")));
-    }
-
-    @Test
-    void aTruncatedStreamThatEndsNormallyIsDetected() {
-        assertThat(
-                violations(result(CallKind.TAG, 200, true, streamEvents(0, 12))),
-                hasItem(containsString("ended normally after 12 of 30 events")));
-    }
-
     @Test
     void anApiKeyThatReachesAnUpstreamIsDetected() throws Exception {
         runAtUpstream("c7");
--- a/soak/src/test/java/coriandersill/soak/SoakTest.java
+++ b/soak/src/test/java/coriandersill/soak/SoakTest.java
@@ -72,4 +72,16 @@
         assertThat(report.logDirectory() + " " + report.entrySummaries(), report.violations(), is(empty()));
         assertThat(report.succeeded(), greaterThan(50L));
     }
+
+    /** Guards against streams that end as complete, or with events missing, after moves from engine to engine. */
+    @ParameterizedTest
+    // 1: with the entries of an incident, 6 streams ended as complete before their last event.
+    @ValueSource(longs = 1)
+    void streamsOfAllFramingsAreWholeOrVisiblyBrokenOffHoweverOftenTheyMove(long seed) throws Exception {
+        Soak.Report report =
+                Soak.of(FaultKind.MOVES, seed, 2, Duration.ofSeconds(10)).run();
+
+        assertThat(report.logDirectory() + " " + report.entrySummaries(), report.violations(), is(empty()));
+        assertThat(report.succeeded(), greaterThan(50L));
+    }
 }
