The link of a soak engine refuses connections before it closes any

ServerSocket.close returns while a thread still waits in accept, and the system goes on listening until that thread has woken. The link waits for the thread now.

--- a/soak/src/main/java/coriandersill/soak/DirectLink.java
+++ b/soak/src/main/java/coriandersill/soak/DirectLink.java
@@ -16,12 +16,13 @@
 
     private final ServerSocket listener;
     private final int targetPort;
+    private final Thread acceptor;
     private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
 
     private DirectLink(int targetPort) throws IOException {
         this.targetPort = targetPort;
         this.listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-        startThread(this::acceptUntilClosed);
+        this.acceptor = startThread(this::acceptUntilClosed);
     }
 
     static DirectLink to(int targetPort) throws IOException {
@@ -77,18 +78,23 @@
         }
     }
 
-    private static void startThread(Runnable work) {
+    private static Thread startThread(Runnable work) {
         Thread thread = new Thread(work, "soak-link");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     @Override
     public void close() {
         try {
             listener.close();
+            // The system listens until the thread that waits for a connection has left its call.
+            acceptor.join();
         } catch (IOException e) {
             throw new IllegalStateException("cannot close a listener", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         openSockets.forEach(this::close);
     }
