--- a/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationCall.java
@@ -62,7 +62,7 @@
             CallTrace trace,
             long arrivedAtNanos) {
         super(components, plan, body, caller, trace, arrivedAtNanos);
-        this.runs = new RunHistory(trace, components.metrics()::countUnframedEnd);
+        this.runs = new RunHistory(trace, verdict -> components.metrics().countUnframedEnd(verdict));
         this.lastDeliveredEventId = plan.request().lastEventId();
     }
 
