--- a/soak/src/main/java/coriandersill/soak/EngineRecords.java
+++ b/soak/src/main/java/coriandersill/soak/EngineRecords.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -55,9 +56,19 @@
         return runsAt(callId).anyMatch(run -> run.engine().closedAtNanos() < atNanos);
     }
 
-    /** Returns a text with the runs of a call. */
-    String describe(String callId) {
-        return runsAt(callId).map(RunAt::toString).collect(Collectors.joining("; ", " (", ")"));
+    /** Returns a text with the runs of a call, and when their engines were gone. */
+    String describe(CallResult call) {
+        return runsAt(call.id())
+                .map(run -> run + goneText(run.engine(), call))
+                .collect(Collectors.joining("; ", " (", ")"));
+    }
+
+    private static String goneText(Upstream engine, CallResult call) {
+        return engine.closedAtNanos() == Long.MAX_VALUE
+                ? ""
+                : ", engine gone "
+                        + TimeUnit.NANOSECONDS.toMillis(engine.closedAtNanos() - call.endedAtNanos())
+                        + " ms after the response";
     }
 
     private Stream<RunAt> runsAt(String callId) {
--- a/soak/src/main/java/coriandersill/soak/StreamChecker.java
+++ b/soak/src/main/java/coriandersill/soak/StreamChecker.java
@@ -34,17 +34,17 @@
         List<String> expected = StandInUpstream.fullStream(eventCount(runs));
         if (events.size() > expected.size() || !events.equals(expected.subList(0, events.size()))) {
             violations.add("events missing, repeated or out of order: " + call + ": " + firstLines(events)
-                    + records.describe(call.id()));
+                    + records.describe(call));
         }
         if (!call.complete()) {
             return;
         }
         if (events.size() < expected.size() || !call.body().endsWith("\n\n")) {
             violations.add("stream ended normally after " + events.size() + " of " + expected.size() + " events: "
-                    + call + records.describe(call.id()));
+                    + call + records.describe(call));
         } else if (runs.stream().noneMatch(run -> run.end() == EngineRun.End.COMPLETED)) {
             violations.add("stream ended normally, but no engine has written its last event: " + call
-                    + records.describe(call.id()));
+                    + records.describe(call));
         }
     }
 
--- a/soak/src/main/java/coriandersill/soak/StreamSummary.java
+++ b/soak/src/main/java/coriandersill/soak/StreamSummary.java
@@ -68,7 +68,7 @@
         }
         List<String> unhindered = streams.stream()
                 .filter(this::isBrokenOffUnhindered)
-                .map(stream -> stream + records.describe(stream.id()))
+                .map(stream -> stream + records.describe(stream))
                 .toList();
         return List.of(
                 "streams by number of runs: " + streamsByRuns + ", orders to stop: " + orders + ", stopped runs: "
