Positions of a log that may be restored from an older copy

A library of decisions: the era of an answer as stated (missing, malformed and repeated statements change nothing), what an answer means to a reader of the known era, and positions that compare by era, then by offset.

--- a/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
+++ b/functional/src/test/java/coriandersill/functional/SourceRulesTest.java
@@ -50,7 +50,8 @@
                 "catalog",
                 "quarantine",
                 "upstreams",
-                "responses"
+                "responses",
+                "eras"
             })
     void aDecisionLibraryDependsOnlyOnCoreAndTheJdkAndReadsNoClockOrRandomSource(String module) throws IOException {
         List<String> violations = new ArrayList<>();
