--- a/events/src/main/java/coriandersill/events/EventCode.java
+++ b/events/src/main/java/coriandersill/events/EventCode.java
@@ -164,7 +164,11 @@
     /** A record was dropped because the platform's log did not accept it in time. */
     RECORD_NOT_SENT(804, Level.WARNING, "record not appended"),
     /** This entry reads a topic from another entry, or from the store, than before; the details give the reason. */
-    FEED_SOURCE_CHANGED(805, Level.INFO, "topic read from another source");
+    FEED_SOURCE_CHANGED(805, Level.INFO, "topic read from another source"),
+    /** The platform's store was restored from an older copy; its topics are read and merged with what is known. */
+    STORE_RESTORED(806, Level.WARNING, "platform store was restored"),
+    /** An answer of the platform's store states no valid era, or an earlier one than before. */
+    STORE_ERA_INVALID(807, Level.WARNING, "era of the platform store is invalid");
 
     private final int number;
     private final Level level;
