--- a/soak/src/main/java/coriandersill/soak/MoveSeries.java
+++ b/soak/src/main/java/coriandersill/soak/MoveSeries.java
@@ -49,13 +49,14 @@
     private void departNext() throws Exception {
         int choice = random.nextInt(Integer.MAX_VALUE);
         int noticeMillis = drawNotice();
-        scheduleDeparture();
         List<Upstream> candidates = environment.remainingUpstreams(Upstream.ENGINE_SERVICE);
         Upstream engine = candidates.get(choice % candidates.size());
         String fault = "drain " + engine.id() + ", gone after " + noticeMillis + " ms";
         timer.record(fault);
-        environment.addUpstream(Upstream.ENGINE_SERVICE);
         environment.markLeaving(engine);
+        // Only now, so that the next one does not choose the same engine.
+        scheduleDeparture();
+        environment.addUpstream(Upstream.ENGINE_SERVICE);
         timer.scheduleEnd(fault, noticeMillis, () -> {
             environment.removeListing(engine);
             engine.close();
