A stream that ends at its route's timeout is not lost

LossChecker lets a call end at its deadline or its route's timeout if that is shorter; the load generator named its own deadline of 4 s also for the route with a timeout of 3,000 ms. The deadline that the generator sends is as before.

--- a/soak/src/main/java/coriandersill/soak/LoadGenerator.java
+++ b/soak/src/main/java/coriandersill/soak/LoadGenerator.java
@@ -69,7 +69,9 @@
 
     @Override
     public Duration maxAnswerTime(CallKind kind) {
-        return pattern.timeout(kind);
+        Duration deadline = pattern.timeout(kind);
+        Duration routeTimeout = kind.maxAnswerTime();
+        return deadline.compareTo(routeTimeout) < 0 ? deadline : routeTimeout;
     }
 
     private void sendNextCall() {
@@ -78,7 +80,7 @@
         List<String> keys = List.copyOf(environment.workspacesOfAllKeys().keySet());
         String key = keys.get(random.nextInt(keys.size()));
         String id = "c" + nextCallNumber++;
-        Duration timeout = maxAnswerTime(kind);
+        Duration timeout = pattern.timeout(kind);
         // A call without a body is sent as a GET.
         String body = kind == CallKind.LOOK ? null : "prompt of " + id;
         long sentAtNanos = System.nanoTime();
