An engine that wants no request is asked for its process afterwards

Callers got a part of a stream without framing as a complete one if their engine ended, or another process took its address, while it wanted no request: it was then only asked whether its address accepts a connection, and whatever listens there counted as the engine. That it was no process of the engine's was ruled out by nothing.

ProcessQuestion, split from AbstractCall, waits for the end of the quiet time, at most 2 s, and takes only a report for a sign of life; an engine that stays quiet is not known to run, so that its stream is broken off, visibly. No request is sent meanwhile. Plain upstreams, which have no report, are asked as before.

DoubtfulStreamEndTest, three cases red before: complete at once. Green: complete once the engine reports, broken off if its process has ended or if it stays quiet. Its other cases no longer leave copies unanswered, so that the move which follows a break ends; the crash detector's question, which opens a connection only, is not counted as a request.

--- a/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/AbstractCall.java
@@ -8,9 +8,7 @@
 import coriandersill.events.CallGuard;
 import coriandersill.events.EventCode;
 import coriandersill.quarantine.CallTraits;
-import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.KvCacheCopy;
-import coriandersill.relay.ProcessCheck;
 import coriandersill.relay.ResponseHead;
 import coriandersill.relay.UpstreamCall;
 import coriandersill.responses.ProcessEvidence;
@@ -51,9 +49,6 @@
     /** How long before its deadline a call fails, so that the response reaches the caller in time. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(10);
 
-    /** Longer than a process that shuts down listens after it has closed its connections. */
-    private static final long SHUTDOWN_MILLIS = 100;
-
     /** How long after the deadline of its call a response may occupy memory that its caller has not read. */
     private static final Duration UNREAD_RESPONSE_TIME = Duration.ofSeconds(1);
 
@@ -344,32 +339,10 @@
 
     /**
      * Asks whether the process of an upstream still runs, and passes the answer to {@code onAnswer} unless the call has
-     * ended. The end of a response without framing may only show that its process ended, or that it is about to: an
-     * upstream that leaves is asked after {@link #SHUTDOWN_MILLIS}.
+     * ended. The end of a response without framing may only show that its process ended, or that it is about to.
      */
     final void askWhetherProcessRuns(UpstreamSelector.Selection target, Consumer<ProcessEvidence> onAnswer) {
-        if (components.upstreams().isLeavingOrUnknown(target.upstream().instance())) {
-            runLater(SHUTDOWN_MILLIS, () -> askNow(target, onAnswer));
-        } else {
-            askNow(target, onAnswer);
-        }
-    }
-
-    private void askNow(UpstreamSelector.Selection target, Consumer<ProcessEvidence> onAnswer) {
-        components
-                .engineControl()
-                .processState(target.upstream(), processCheck(target))
-                .whenComplete((state, error) -> runOnContext(() -> onAnswer.accept(
-                        state == EngineProcessState.RUNNING
-                                ? ProcessEvidence.RUNNING
-                                : ProcessEvidence.NOT_KNOWN_TO_RUN)));
-    }
-
-    private ProcessCheck processCheck(UpstreamSelector.Selection target) {
-        if (components.upstreams().isQuiet(target.upstream().instance())) {
-            return ProcessCheck.CONNECTION;
-        }
-        return plan.service().engine().isPresent() ? ProcessCheck.REPORT : ProcessCheck.OPTIONAL_REPORT;
+        new ProcessQuestion(this, target.upstream(), onAnswer).ask();
     }
 
     /** Returns the failure of a response whose end does not show that it is whole. */
--- /dev/null
+++ b/relay/src/main/java/coriandersill/relay/internal/ProcessQuestion.java
@@ -0,0 +1,101 @@
+package coriandersill.relay.internal;
+
+import coriandersill.relay.EngineProcessState;
+import coriandersill.relay.ProcessCheck;
+import coriandersill.responses.ProcessEvidence;
+import coriandersill.upstreams.Upstream;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/**
+ * The question of a call whether the process of an upstream still runs.
+ *
+ * <p>An upstream that leaves is asked after {@link #SHUTDOWN_MILLIS}, an engine that wants no request after its quiet
+ * time: an open connection shows only that something listens at its address. Confined to the Vert.x context of its
+ * call.
+ */
+final class ProcessQuestion {
+    /** Longer than a process that shuts down listens after it has closed its connections. */
+    private static final long SHUTDOWN_MILLIS = 100;
+
+    /** The delay before another try while an engine wants no request. */
+    private static final long QUIET_RETRY_MILLIS = 100;
+
+    /** How long the end of a stream stays open because its engine wants no request; the caller waits meanwhile. */
+    private static final Duration MAX_QUIET_WAIT = Duration.ofSeconds(2);
+
+    private final AbstractCall call;
+    private final RelayComponents components;
+    private final Upstream upstream;
+    private final Consumer<ProcessEvidence> onAnswer;
+    private final long beganAtNanos;
+
+    /**
+     * Creates the question.
+     *
+     * @param onAnswer receives the answer unless the call has ended
+     */
+    ProcessQuestion(AbstractCall call, Upstream upstream, Consumer<ProcessEvidence> onAnswer) {
+        this.call = call;
+        this.components = call.components;
+        this.upstream = upstream;
+        this.onAnswer = onAnswer;
+        this.beganAtNanos = components.clock().nanos();
+    }
+
+    void ask() {
+        if (components.upstreams().isLeavingOrUnknown(upstream.instance())) {
+            call.runLater(SHUTDOWN_MILLIS, this::askUnlessQuiet);
+        } else {
+            askUnlessQuiet();
+        }
+    }
+
+    private void askUnlessQuiet() {
+        if (isQuietEngine()) {
+            askLater();
+            return;
+        }
+        components
+                .engineControl()
+                .processState(upstream, check())
+                .whenComplete((state, error) -> call.runOnContext(() -> handleState(state)));
+    }
+
+    /** Handles a state; null if the question failed. */
+    private void handleState(EngineProcessState state) {
+        if (state == EngineProcessState.RUNNING) {
+            onAnswer.accept(ProcessEvidence.RUNNING);
+        } else if (state != EngineProcessState.ENDED && isQuietEngine()) {
+            // It has asked for no request instead of sending its report.
+            askLater();
+        } else {
+            onAnswer.accept(ProcessEvidence.NOT_KNOWN_TO_RUN);
+        }
+    }
+
+    private void askLater() {
+        Duration waited = Duration.ofNanos(components.clock().nanos() - beganAtNanos);
+        if (waited.compareTo(MAX_QUIET_WAIT) < 0) {
+            call.runLater(QUIET_RETRY_MILLIS, this::askUnlessQuiet);
+        } else {
+            onAnswer.accept(ProcessEvidence.NOT_KNOWN_TO_RUN);
+        }
+    }
+
+    private boolean isQuietEngine() {
+        return isEngine() && components.upstreams().isQuiet(upstream.instance());
+    }
+
+    private boolean isEngine() {
+        return call.plan.service().engine().isPresent();
+    }
+
+    private ProcessCheck check() {
+        if (isEngine()) {
+            return ProcessCheck.REPORT;
+        }
+        boolean quiet = components.upstreams().isQuiet(upstream.instance());
+        return quiet ? ProcessCheck.CONNECTION : ProcessCheck.OPTIONAL_REPORT;
+    }
+}
