Only a report shows that an engine runs

Callers got a part of a stream as a complete one if what listened at their engine's address refused the request for a report as busy (429, 503): that counted as a sign of life, though any process answers so, an intermediary included.

--- a/relay/src/main/java/coriandersill/relay/ProcessCheck.java
+++ b/relay/src/main/java/coriandersill/relay/ProcessCheck.java
@@ -6,6 +6,6 @@
     CONNECTION,
     /** The report is requested too; an upstream that answers nothing or anything else runs, since not all have one. */
     OPTIONAL_REPORT,
-    /** Only an upstream that answers the request for its report as an engine does is known to run. */
+    /** Only an upstream that sends its report is known to run; one that is busy may be another at its address. */
     REPORT
 }
