A broken stream waits for its engine as long as a stopped generation does

Callers lost a generation whose connection broke while its engine wanted no request for a moment, though the engine still ran it: the move of a broken stream has no time limit of its own (0), and since repetitions end with the time of the move its first one was refused.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -55,6 +55,7 @@
     private boolean streamBroken;
     private boolean ended;
     private long stoppedAtNanos;
+    private long brokenAtNanos;
     private KvCacheCopy copy;
 
     GenerationMove(
@@ -102,6 +103,7 @@
     /** Called when the stream from the source broke: only the state held by the engine can still be moved. */
     void streamBroken() {
         streamBroken = true;
+        brokenAtNanos = components.clock().nanos();
     }
 
     /** Called when the stream continues on the target. */
@@ -137,7 +139,8 @@
     }
 
     /**
-     * Cancels the move because the call has ended; releases the target, and the copy unless the generation has stopped.
+     * Cancels the move because the call has ended; releases the target, and the copy unless the generation may have
+     * stopped.
      */
     void cancel() {
         if (!ended) {
@@ -192,8 +195,7 @@
 
     /** Returns whether the generation has stopped and may still wait until a target has a free slot. */
     private boolean mayWaitStopped() {
-        return stopping
-                && pacing.mayWaitStopped(Duration.ofNanos(components.clock().nanos() - stoppedAtNanos));
+        return stopping && pacing.mayWaitStopped(since(stoppedAtNanos));
     }
 
     private void startNextCopy() {
@@ -285,14 +287,21 @@
 
     /** Tries a step again soon, or lets the move fail if its time is over. */
     private void retryStep(Runnable step, String hindrance) {
-        boolean inTime = stopping ? mayWaitStopped() : !pacing.isOver(elapsed());
-        if (inTime) {
+        if (isInTime()) {
             call.runLater(RETRY_DELAY_MILLIS, step);
         } else {
             fail(hindrance);
         }
     }
 
+    /** Returns whether a step may be tried again; without its stream a generation waits as long as a stopped one. */
+    private boolean isInTime() {
+        if (stopping) {
+            return mayWaitStopped();
+        }
+        return streamBroken ? pacing.mayWaitStopped(since(brokenAtNanos)) : !pacing.isOver(elapsed());
+    }
+
     /** Handles the answer that the source runs no such generation: it has not started, or has ended by itself. */
     private void handleNotRunning(boolean stop) {
         if (stop && !mayHaveStopped()) {
@@ -394,6 +403,10 @@
     }
 
     private Duration elapsed() {
-        return Duration.ofNanos(components.clock().nanos() - startedAtNanos);
+        return since(startedAtNanos);
+    }
+
+    private Duration since(long nanos) {
+        return Duration.ofNanos(components.clock().nanos() - nanos);
     }
 }
