The copy of a generation that no order stopped is given up

Two engines held the memory of a copy, until it expired, for a generation that went on at its engine: the copy was kept as soon as the move meant to stop the generation, also if the engine answered that it carried out no order. What the orders say now decides, as it does about the end of the stream; an order without an answer still keeps the copy.

DoubtfulStreamEndTest.theCopyOfAGenerationThatNoOrderStoppedIsGivenUp: 0 of 1 copies released before, 1 now; theCopyOfAGenerationThatAnOrderMayHaveStoppedIsKept: 0 released, before and now.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -379,12 +379,12 @@
     }
 
     /**
-     * Releases the copy at both engines. The copy of a generation that has stopped is kept, since nothing else is left
-     * of the generation; one at an engine that wants no request expires by itself.
+     * Releases the copy at both engines. The copy of a generation that may have stopped is kept, since nothing else is
+     * left of the generation then; one at an engine that wants no request expires by itself.
      */
     private void releaseCopy() {
         boolean mayRequest = !components.upstreams().isQuiet(source.upstream().instance());
-        if (copy != null && !stopping && mayRequest) {
+        if (copy != null && !mayHaveStopped() && mayRequest) {
             KvCacheCopy unused = copy;
             components.engineControl().release(unused).whenComplete((done, error) -> {
                 if (error != null) {
