The move of a generation that has not begun ends with the time of its engine

Others had no use of a place that the move held at its target: while an engine answered that it runs no such generation, and no event had come, the copy was asked for every 30 ms without end. It is now repeated like every other step; a generation that begins later is moved then.

DoubtfulStreamEndTest.aMoveOfAGenerationThatHasNotBegunEndsWithTheTimeOfItsEngine: no end within 5 s before, ends now.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -310,7 +310,7 @@
         if (call.hasStarted() || streamBroken) {
             fail("the generation has already ended");
         } else {
-            call.runLater(RETRY_DELAY_MILLIS, this::startNextCopy);
+            retryStep(this::startNextCopy, "the generation has not begun");
         }
     }
 
