Release a call's admission before its entry is told that it ended

Seen by callers: a call sent right after another one's end was refused with "upstream is at its limit", although the upstream had room.

Cause: PlainCall and GenerationCall sent the end to the entry first and called CallDispatcher.finished then, which released the admission in a task of the workers. The entry's next dispatch was offered by another worker before that. A refusal between admission and the request (checkBeforeSending, the deadline, a statement of the upstream, a refused connection) had the same order.

Ruled out: the upstream of the test (it answers each request at once, without state) and a full queue of the workers (its refusal has another text).

Change: the worker releases the admission, the end is sent next, on the context of the call, and the call leaves the table last. Decisions on waiting calls are applied after that. The observer is told of an end on the context as before, and once: a generation that is cancelled after its end was reported twice.

Not changed: a call in which a step threw an error is still answered, and a cancelled one still leaves the table, before its admission is released.

--- a/functional/src/test/java/coriandersill/functional/SidecarFixture.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarFixture.java
@@ -7,14 +7,13 @@
 import coriandersill.sidecar.PingSource;
 import coriandersill.sidecar.Sidecar;
 import coriandersill.sidecar.SidecarSettings;
-import coriandersill.wire.Message;
 import coriandersill.wire.WireEventLoops;
 import coriandersill.workers.WorkerPool;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 /** Runs a sidecar beside an upstream of the test, and the connections to it on which the test acts as an entry. */
 final class SidecarFixture implements AutoCloseable {
@@ -29,21 +28,17 @@
 
     /** Starts the sidecar, which gives the upstream at {@code upstreamPort} {@code concurrency} calls at a time. */
     void start(int upstreamPort, int concurrency) {
-        start(upstreamPort, concurrency, new PingSource() {
-            @Override
-            public long configurationPosition() {
-                return -1;
-            }
-
-            @Override
-            public Optional<Message.Stamp> stamp() {
-                return Optional.empty();
-            }
-        });
+        start(upstreamPort, builder -> builder.admission(FixedLimitAdmission.of(concurrency)));
     }
 
     /** Starts the sidecar with a source of what its pings say. */
     void start(int upstreamPort, int concurrency, PingSource pingSource) {
+        start(upstreamPort, builder -> builder.admission(FixedLimitAdmission.of(concurrency))
+                .pingSource(pingSource));
+    }
+
+    /** Starts the sidecar with components of the test, of which the admission controller is required. */
+    void start(int upstreamPort, UnaryOperator<Sidecar.Builder> components) {
         SidecarSettings settings = new SidecarSettings(
                 RecordingEntry.wireSettings("sidecar", "sidecar-1"),
                 "127.0.0.1",
@@ -53,10 +48,8 @@
                 "127.0.0.1",
                 upstreamPort,
                 Duration.ofSeconds(30));
-        sidecar = Sidecar.builder(settings, vertx, eventLoops, workers)
-                .admission(FixedLimitAdmission.of(concurrency))
-                .pingSource(pingSource)
-                .metrics(metrics)
+        sidecar = components
+                .apply(Sidecar.builder(settings, vertx, eventLoops, workers).metrics(metrics))
                 .build();
         sidecar.start().join();
     }
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/CallDispatcher.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/CallDispatcher.java
@@ -193,8 +193,7 @@
                 ? Optional.of(CallFailure.of(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while waiting"))
                 : upstreamCondition.refusal().or(() -> sidecar.dispatchCheck().checkBeforeSending(call.dispatch()));
         if (refusal.isPresent()) {
-            refuse(call, refusal.get());
-            releaseAdmission(call, Completion.CANCELLED);
+            finish(call, Completion.CANCELLED, () -> refuse(call, refusal.get()));
             return;
         }
         if (!call.markRunning()) {
@@ -225,12 +224,28 @@
         call.send(new Message.Refused(call.attempt(), failure.kind(), failure.getMessage(), failure.retryAfter()));
     }
 
-    /** Ends a call that was sent to the upstream; called after its response has been sent to the entry. */
-    void finished(OpenCall call, Completion completion) {
-        if (call.markEnded().isPresent()) {
-            calls.remove(call);
-            release(call, completion);
+    /**
+     * Releases the admission of a call that was admitted, and then lets {@code sendEnd} tell the entry how it ended, so
+     * that a call which the entry sends next finds the place free.
+     */
+    void finished(OpenCall call, Completion completion, Runnable sendEnd) {
+        sidecar.workers().executeOrRun(() -> call.guard().run(() -> finish(call, completion, sendEnd)));
+    }
+
+    private void finish(OpenCall call, Completion completion, Runnable sendEnd) {
+        List<AdmissionDecision> decisions = finishAdmission(call, completion);
+        call.guard().run(sendEnd);
+        apply(decisions);
+    }
+
+    /** Sends the end of a call whose admission has been released, unless the call has ended otherwise since. */
+    void sendEnd(OpenCall call, Message end) {
+        if (call.state() == OpenCall.State.ENDED) {
+            return;
         }
+        call.send(end);
+        call.markEnded();
+        calls.remove(call);
     }
 
     private void release(OpenCall call, Completion completion) {
@@ -238,8 +253,12 @@
     }
 
     private void releaseAdmission(OpenCall call, Completion completion) {
+        apply(finishAdmission(call, completion));
+    }
+
+    private List<AdmissionDecision> finishAdmission(OpenCall call, Completion completion) {
         reportTokens(call);
-        apply(sidecar.admission().finished(call.id(), completion));
+        return sidecar.admission().finished(call.id(), completion);
     }
 
     private void reportTokens(OpenCall call) {
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
@@ -103,8 +103,9 @@
     private void refuse(HttpClientRequest unsent, CallFailure failure) {
         ended = true;
         unsent.connection().close();
-        call.send(new Message.Refused(call.attempt(), failure.kind(), failure.getMessage(), failure.retryAfter()));
-        finishCall(false);
+        Message refusal =
+                new Message.Refused(call.attempt(), failure.kind(), failure.getMessage(), failure.retryAfter());
+        finishCall(false, () -> sendOrKeepEnd(refusal));
     }
 
     private void send(HttpClientRequest opened) {
@@ -230,21 +231,20 @@
         // The granted credit counts from nextIndex on and thus includes the resent tokens.
         int additionalCredit = grantedCredit - unacknowledgedPayloads.size() - credit;
         addCredit(additionalCredit);
-        undeliveredFinalMessage.ifPresent(message -> {
-            call.send(message);
-            finishCall(message instanceof Message.Finished);
-        });
+        undeliveredFinalMessage.ifPresent(message -> dispatcher.sendEnd(call, message));
     }
 
     @Override
     public void cancel() {
         runOnContext(() -> {
-            ended = true;
             if (request != null) {
                 request.reset();
             }
-            // Reported as succeeded, because a cancel is no failure of the upstream.
-            reportEnd(true, Ran.UNKNOWN);
+            if (!ended) {
+                ended = true;
+                // Reported as succeeded, because a cancel is no failure of the upstream.
+                reportEnd(true, Ran.UNKNOWN, elapsed());
+            }
         });
     }
 
@@ -315,29 +315,32 @@
             return;
         }
         ended = true;
+        Duration total = elapsed();
+        finishCall(succeeded, () -> {
+            sendOrKeepEnd(message);
+            reportEnd(succeeded, succeeded || bodySent ? Ran.YES : Ran.NO, total);
+        });
+    }
+
+    /** Runs {@code sendEnd} on the context, so that the end follows tokens that a resume sends again. */
+    private void finishCall(boolean succeeded, Runnable sendEnd) {
+        dispatcher.finished(call, succeeded ? Completion.FINISHED : Completion.FAILED, () -> runOnContext(sendEnd));
+    }
+
+    private void sendOrKeepEnd(Message end) {
         if (call.connection().isOpen()) {
-            call.send(message);
-            finishCall(succeeded);
+            dispatcher.sendEnd(call, end);
         } else {
-            undeliveredFinalMessage = Optional.of(message);
+            undeliveredFinalMessage = Optional.of(end);
         }
-        reportEnd(succeeded, succeeded || bodySent ? Ran.YES : Ran.NO);
     }
 
-    private void finishCall(boolean succeeded) {
-        dispatcher.finished(call, succeeded ? Completion.FINISHED : Completion.FAILED);
+    private Duration elapsed() {
+        return Duration.ofNanos(sidecar.clock().nanos() - startedNanos);
     }
 
-    private void reportEnd(boolean succeeded, Ran ran) {
-        long now = sidecar.clock().nanos();
+    private void reportEnd(boolean succeeded, Ran ran, Duration total) {
         Duration firstToken = sentTokens == 0 ? Duration.ZERO : Duration.ofNanos(firstTokenAtNanos - startedNanos);
-        sidecar.observer()
-                .onCallEnded(
-                        call.dispatch().target(),
-                        succeeded,
-                        ran,
-                        firstToken,
-                        sentTokens,
-                        Duration.ofNanos(now - startedNanos));
+        sidecar.observer().onCallEnded(call.dispatch().target(), succeeded, ran, firstToken, sentTokens, total);
     }
 }
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -81,8 +81,9 @@
     private void refuse(HttpClientRequest unsent, CallFailure failure) {
         ended = true;
         unsent.connection().close();
-        call.send(new Message.Refused(call.attempt(), failure.kind(), failure.getMessage(), failure.retryAfter()));
-        dispatcher.finished(call, Completion.CANCELLED);
+        Message refusal =
+                new Message.Refused(call.attempt(), failure.kind(), failure.getMessage(), failure.retryAfter());
+        dispatcher.finished(call, Completion.CANCELLED, () -> runOnContext(() -> dispatcher.sendEnd(call, refusal)));
     }
 
     private void send(HttpClientRequest opened) {
@@ -176,10 +177,14 @@
             return;
         }
         ended = true;
-        call.send(message);
-        dispatcher.finished(call, succeeded ? Completion.FINISHED : Completion.FAILED);
         Duration total = Duration.ofNanos(sidecar.clock().nanos() - startedNanos);
-        sidecar.observer().onCallEnded(call.dispatch().target(), succeeded, ran, total, 0, total);
+        dispatcher.finished(
+                call,
+                succeeded ? Completion.FINISHED : Completion.FAILED,
+                () -> runOnContext(() -> {
+                    dispatcher.sendEnd(call, message);
+                    sidecar.observer().onCallEnded(call.dispatch().target(), succeeded, ran, total, 0, total);
+                }));
     }
 
     @Override
