Believe a response without framing only if its upstream accepts a connection

Seen by callers: a plain response without chunks or a length, cut off by an upstream that then stood still, arrived as a whole one with 200.

Cause: UpstreamClient.listens() told a refused connection from everything else, and took a timeout, a full pool or any other failure for a sign of life.

Evidence: SidecarSilentUpstreamTest.aResponseWithoutFramingWhoseUpstreamIsSilentIsNotDelivered, an upstream with a full backlog: before, "Expected: an instance of Message$Failed but: <PlainResponse[... status=200 ...]>"; after, outcome_unknown.

Change: UpstreamClient.processEvidence() is RUNNING for a connection that opens and NOT_KNOWN_TO_RUN for any failure, as at the platform's front end; PlainCall delivers the response only if RUNNING.

--- a/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/GenerationCall.java
@@ -256,7 +256,8 @@
             request.reset();
         }
         if (bodySent && sentTokens < TOKENS_OF_SUCCESS) {
-            upstreamClient.listens().onSuccess(listens -> call.guard().run(() -> endInterrupted(cause, !listens)));
+            upstreamClient.refusesConnections().onSuccess(refuses -> call.guard()
+                    .run(() -> endInterrupted(cause, refuses)));
         } else {
             endInterrupted(cause, false);
         }
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -5,6 +5,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.responses.Framing;
+import coriandersill.responses.ProcessEvidence;
 import coriandersill.responses.ResponseStatus;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireConnection;
@@ -134,11 +135,12 @@
             onResponse(response, body);
             return;
         }
-        upstreamClient.listens().onSuccess(listens -> call.guard().run(() -> {
-            if (listens) {
+        upstreamClient.processEvidence().onSuccess(process -> call.guard().run(() -> {
+            if (process == ProcessEvidence.RUNNING) {
                 onResponse(response, body);
             } else {
-                onConnectionLost(new IllegalStateException("nothing listens after a response without framing"));
+                onConnectionLost(
+                        new IllegalStateException("its process is not known to run after a response without framing"));
             }
         }));
     }
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamClient.java
@@ -1,6 +1,7 @@
 package coriandersill.sidecar.internal;
 
 import coriandersill.core.ManagedService;
+import coriandersill.responses.ProcessEvidence;
 import coriandersill.sidecar.SidecarSettings;
 import coriandersill.wire.Message;
 import io.netty.channel.ConnectTimeoutException;
@@ -60,17 +61,33 @@
         return client.request(options).map(request -> withHeaders(request, dispatch));
     }
 
-    /** Returns whether anything listens on the upstream's address; true if that is not known. */
-    Future<Boolean> listens() {
+    /**
+     * Returns whether the upstream's process is known to run, which a new connection shows; a connection that fails for
+     * whatever reason, a timeout included, shows nothing. The future does not fail.
+     */
+    Future<ProcessEvidence> processEvidence() {
+        return connect().map(ProcessEvidence.RUNNING).otherwise(ProcessEvidence.NOT_KNOWN_TO_RUN);
+    }
+
+    /**
+     * Returns whether the upstream's process is known to have ended, since its address refuses connections. A timeout
+     * does not show that: a process that is too busy to accept a connection still runs. The future does not fail.
+     */
+    Future<Boolean> refusesConnections() {
+        return connect()
+                .map(false)
+                .otherwise(error -> error instanceof ConnectException && !(error instanceof ConnectTimeoutException));
+    }
+
+    /** Opens a connection to the upstream and closes it. */
+    private Future<Void> connect() {
         RequestOptions options =
                 new RequestOptions().setHost(settings.upstreamHost()).setPort(settings.upstreamPort());
         return client.request(options)
-                .map(request -> {
-                    // A reset before the request was sent would give the connection back to the pool.
-                    request.connection().close();
-                    return true;
-                })
-                .otherwise(error -> !(error instanceof ConnectException) || error instanceof ConnectTimeoutException);
+                .onSuccess(request ->
+                        // A reset before the request was sent would give the connection back to the pool.
+                        request.connection().close())
+                .mapEmpty();
     }
 
     /** Sends the body and ends the request; resets it if the upstream sends interim responses (1xx) without end. */
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamCondition.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/UpstreamCondition.java
@@ -131,11 +131,13 @@
     }
 
     private void check() {
-        upstreamClient.listens().onComplete(listens -> guard.run(() -> onChecked(listens), this::checkLater));
+        upstreamClient
+                .refusesConnections()
+                .onComplete(refuses -> guard.run(() -> onChecked(refuses), this::checkLater));
     }
 
-    private void onChecked(AsyncResult<Boolean> listens) {
-        boolean ended = listens.succeeded() && !listens.result();
+    private void onChecked(AsyncResult<Boolean> refuses) {
+        boolean ended = refuses.succeeded() && refuses.result();
         lock.run(() -> {
             incarnation += ended ? 1 : 0;
             checking = false;
