--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -5,6 +5,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.responses.Framing;
+import coriandersill.responses.ProcessEvidence;
 import coriandersill.responses.ResponseStatus;
 import coriandersill.wire.Message;
 import coriandersill.wire.WireConnection;
@@ -81,8 +82,9 @@
     private void refuse(HttpClientRequest unsent, CallFailure failure) {
         ended = true;
         unsent.connection().close();
-        call.send(new Message.Refused(call.attempt(), failure.kind(), failure.getMessage(), failure.retryAfter()));
-        dispatcher.finished(call, Completion.CANCELLED);
+        Message refusal =
+                new Message.Refused(call.attempt(), failure.kind(), failure.getMessage(), failure.retryAfter());
+        dispatcher.finished(call, Completion.CANCELLED, () -> runOnContext(() -> dispatcher.sendEnd(call, refusal)));
     }
 
     private void send(HttpClientRequest opened) {
@@ -133,11 +135,12 @@
             onResponse(response, body);
             return;
         }
-        upstreamClient.listens().onSuccess(listens -> call.guard().run(() -> {
-            if (listens) {
+        upstreamClient.processEvidence().onSuccess(process -> call.guard().run(() -> {
+            if (process == ProcessEvidence.RUNNING) {
                 onResponse(response, body);
             } else {
-                onConnectionLost(new IllegalStateException("nothing listens after a response without framing"));
+                onConnectionLost(
+                        new IllegalStateException("its process is not known to run after a response without framing"));
             }
         }));
     }
@@ -176,10 +179,14 @@
             return;
         }
         ended = true;
-        call.send(message);
-        dispatcher.finished(call, succeeded ? Completion.FINISHED : Completion.FAILED);
         Duration total = Duration.ofNanos(sidecar.clock().nanos() - startedNanos);
-        sidecar.observer().onCallEnded(call.dispatch().target(), succeeded, ran, total, 0, total);
+        dispatcher.finished(
+                call,
+                succeeded ? Completion.FINISHED : Completion.FAILED,
+                () -> runOnContext(() -> {
+                    dispatcher.sendEnd(call, message);
+                    sidecar.observer().onCallEnded(call.dispatch().target(), succeeded, ran, total, 0, total);
+                }));
     }
 
     @Override
