Order a stop while the generation runs, also on a busy machine

Cause: the generation took 60 ms, 12 events every 5 ms, and the order came after its end. The engine's record in the failure says so: events 0 to 11 of 12 COMPLETED, no orders.

The tests now use an engine with an event every 500 ms, 6 s in all, and check that the engine received the order.

--- a/soak/src/test/java/coriandersill/soak/StreamCheckerTest.java
+++ b/soak/src/test/java/coriandersill/soak/StreamCheckerTest.java
@@ -37,6 +37,12 @@
     private static final long POLL_INTERVAL_MILLIS = 5;
     private static final EngineShape FAST = new EngineShape(Integer.MAX_VALUE, 0, 5, false);
 
+    /** Engines whose generations last until an order to stop them has arrived, also on a busy machine. */
+    private static final EngineShape SLOW = new EngineShape(Integer.MAX_VALUE, 0, 500, false);
+
+    private static final FixedBehavior ANSWERS_LOST =
+            new FixedBehavior(StreamFraming.NONE, EVENTS, StopOutcome.ANSWER_LOST);
+
     private final Vertx vertx = Vertx.vertx();
     private final HttpClient client = HttpClient.newHttpClient();
     private final DisturbanceTracker disturbances = DisturbanceTracker.of(System::nanoTime);
@@ -44,7 +50,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        engine = startEngine(new FixedBehavior(StreamFraming.NONE, EVENTS, StopOutcome.ANSWER_LOST));
+        engine = startEngine(FAST, ANSWERS_LOST);
     }
 
     @AfterEach
@@ -53,13 +59,13 @@
         vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
 
-    private Upstream startEngine(GenerationBehavior behavior) throws Exception {
-        return Upstream.start(vertx, "e1", Upstream.ENGINE_SERVICE, FAST, behavior);
+    private Upstream startEngine(EngineShape shape, GenerationBehavior behavior) throws Exception {
+        return Upstream.start(vertx, "e1", Upstream.ENGINE_SERVICE, shape, behavior);
     }
 
-    private void replaceByRegularEngine() throws Exception {
+    private void replaceEngine(EngineShape shape, GenerationBehavior behavior) throws Exception {
         engine.close();
-        engine = startEngine(FixedBehavior.DEFAULT);
+        engine = startEngine(shape, behavior);
     }
 
     /** Runs a generation at the engine to its end, as the engine itself has it. */
@@ -77,8 +83,9 @@
         return engine.server().runs().stream().anyMatch(run -> run.end() == EngineRun.End.NONE);
     }
 
-    /** Begins a generation at the engine and orders it to stop soon after. */
+    /** Begins a generation at a slow engine and orders it to stop soon after. */
     private void stopAtEngine() throws Exception {
+        replaceEngine(SLOW, ANSWERS_LOST);
         client.send(callRequest(), HttpResponse.BodyHandlers.ofInputStream());
         HttpRequest order = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + engine.port() + "/v1/kv-move"))
                 .POST(HttpRequest.BodyPublishers.ofString(
@@ -89,6 +96,7 @@
         } catch (IOException lost) {
             // The answer is lost.
         }
+        assertThat(engine.server().stopOrders("c7"), is(List.of(StopOutcome.ANSWER_LOST)));
     }
 
     private HttpRequest callRequest() {
@@ -126,7 +134,7 @@
 
     @Test
     void streamsOfARegularEngineThatAreWholeOrVisiblyBrokenOffHaveNoViolations() throws Exception {
-        replaceByRegularEngine();
+        replaceEngine(FAST, FixedBehavior.DEFAULT);
         runAtEngine();
 
         assertThat(violations(result(true, streamEvents(0, REGULAR_EVENTS))), is(empty()));
@@ -180,7 +188,7 @@
 
     @Test
     void aTruncatedStreamThatEndsNormallyIsDetectedForEachKindOfStream() throws Exception {
-        replaceByRegularEngine();
+        replaceEngine(FAST, FixedBehavior.DEFAULT);
         runAtEngine();
 
         assertThat(
