Engines of all soak kinds draw the framing of their streams

Only the kind "moves" had streams with a length or without framing; all other kinds had chunks, so that stops, reloads, outages, departures and floods never met a stream whose end is also the end of its connection.

DrawnFraming draws the framing by seed, engine and call, as DrawnBehavior did and still does for "moves": the draws of a seed are the same as before. Numbers of events and outcomes of orders stay as they were in each kind. KeyedDraw has what both share.

--- a/soak/src/main/java/coriandersill/soak/DrawnBehavior.java
+++ b/soak/src/main/java/coriandersill/soak/DrawnBehavior.java
@@ -7,17 +7,14 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
-import java.util.SplittableRandom;
 
 /**
- * Draws the framing of each stream, the length of each generation and the outcome of each order to stop; a draw depends
- * on the seed, the call and, but for the length, the engine.
+ * Draws the framing of each stream as {@link DrawnFraming} does, the length of each generation and the outcome of each
+ * order to stop; a draw depends on the seed, the call and, but for the length, the engine.
  */
 record DrawnBehavior(long seed, String engineId) implements GenerationBehavior {
     private static final int MIN_EVENTS = 15;
     private static final int MAX_EVENTS = 90;
-    private static final List<StreamFraming> FRAMINGS = List.of(StreamFraming.values());
 
     /** Outcomes with their shares. {@link StopOutcome#CRASH} is left out, since it ends all calls of the engine. */
     private static final List<StopOutcome> OUTCOMES = weighted(Map.of(
@@ -42,24 +39,16 @@
 
     @Override
     public StreamFraming framing(String callId) {
-        return draw(FRAMINGS, "framing", engineId, callId);
+        return new DrawnFraming(seed, engineId).framing(callId);
     }
 
     @Override
     public int eventCount(String callId) {
-        return random("events", callId).nextInt(MIN_EVENTS, MAX_EVENTS + 1);
+        return KeyedDraw.of(seed, "events", callId).between(MIN_EVENTS, MAX_EVENTS);
     }
 
     @Override
     public StopOutcome stopOutcome(String callId, int orderNumber) {
-        return draw(OUTCOMES, "order", engineId, callId, orderNumber);
-    }
-
-    private <T> T draw(List<T> choices, Object... key) {
-        return choices.get(random(key).nextInt(choices.size()));
-    }
-
-    private SplittableRandom random(Object... key) {
-        return new SplittableRandom(seed * 31 + Objects.hash(key));
+        return KeyedDraw.of(seed, "order", engineId, callId, orderNumber).choose(OUTCOMES);
     }
 }
--- a/soak/src/main/java/coriandersill/soak/FaultKind.java
+++ b/soak/src/main/java/coriandersill/soak/FaultKind.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Random;
 
-/** The kinds of faults of a run. */
+/** The kinds of faults of a run. The engines of all kinds stream in chunks, with a length or without either. */
 enum FaultKind {
     /** Faults of entries, of the store, of links and of upstreams, one over another. */
     GENERAL {
@@ -93,8 +93,8 @@
         }
     },
     /**
-     * Engines that leave one soon after the other while they stream, in chunks, with a length or without either, and
-     * whose answers to orders to stop a generation are late, lost or refusals.
+     * Engines that leave one soon after the other while they stream, and whose answers to orders to stop a generation
+     * are late, lost or refusals.
      */
     MOVES {
         @Override
@@ -150,6 +150,6 @@
 
     /** Returns what the engines do with generations, which depends on the seed alone. */
     EngineBehaviors engineBehaviors(long seed) {
-        return EngineBehaviors.REGULAR;
+        return engineId -> new DrawnFraming(seed, engineId);
     }
 }
