An upstream that does not answer in time is asked again for its process

The request for the engine's report has 500 ms, and an answer that is late counted like a process that has ended.

The question is now repeated for 2 s as long as its answer is not known, as for an engine that wants no request. A process that refuses connections or that started later still ends it at once; one that stays silent is not known to run.

--- a/relay/src/main/java/coriandersill/relay/internal/ProcessQuestion.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ProcessQuestion.java
@@ -11,18 +11,18 @@
  * The question of a call whether the process of an upstream still runs.
  *
  * <p>An upstream that leaves is asked after {@link #SHUTDOWN_MILLIS}, an engine that wants no request after its quiet
- * time: an open connection shows only that something listens at its address. Confined to the Vert.x context of its
- * call.
+ * time: an open connection shows only that something listens at its address. One that is too busy to answer in time is
+ * asked again. Confined to the Vert.x context of its call.
  */
 final class ProcessQuestion {
     /** Longer than a process that shuts down listens after it has closed its connections. */
     private static final long SHUTDOWN_MILLIS = 100;
 
-    /** The delay before another try while an engine wants no request. */
-    private static final long QUIET_RETRY_MILLIS = 100;
+    /** The delay before another try if an upstream does not answer or wants no request. */
+    private static final long RETRY_DELAY_MILLIS = 100;
 
-    /** How long the end of a stream stays open because its engine wants no request; the caller waits meanwhile. */
-    private static final Duration MAX_QUIET_WAIT = Duration.ofSeconds(2);
+    /** How long the question is repeated; the caller waits meanwhile for the end of its response. */
+    private static final Duration MAX_WAIT = Duration.ofSeconds(2);
 
     private final AbstractCall call;
     private final RelayComponents components;
@@ -66,18 +66,17 @@
     private void handleState(EngineProcessState state) {
         if (state == EngineProcessState.RUNNING) {
             onAnswer.accept(ProcessEvidence.RUNNING);
-        } else if (state != EngineProcessState.ENDED && isQuietEngine()) {
-            // It has asked for no request instead of sending its report.
-            askLater();
-        } else {
+        } else if (state == EngineProcessState.ENDED) {
             onAnswer.accept(ProcessEvidence.NOT_KNOWN_TO_RUN);
+        } else {
+            askLater();
         }
     }
 
     private void askLater() {
         Duration waited = Duration.ofNanos(components.clock().nanos() - beganAtNanos);
-        if (waited.compareTo(MAX_QUIET_WAIT) < 0) {
-            call.runLater(QUIET_RETRY_MILLIS, this::askUnlessQuiet);
+        if (waited.compareTo(MAX_WAIT) < 0) {
+            call.runLater(RETRY_DELAY_MILLIS, this::askUnlessQuiet);
         } else {
             onAnswer.accept(ProcessEvidence.NOT_KNOWN_TO_RUN);
         }
