The test of a silent upstream takes the loopback address from the library

Error Prone refuses an address given as text (AddressSelection), so that the module's tests did not compile.

--- a/functional/src/test/java/coriandersill/functional/SidecarSilentUpstreamTest.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarSilentUpstreamTest.java
@@ -10,7 +10,6 @@
 import coriandersill.wire.Message;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -43,7 +42,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        upstream = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         sidecar.start(upstream.getLocalPort(), 4);
         entry = sidecar.connect();
     }
@@ -95,12 +94,11 @@
 
     /** Opens connections that are not accepted until no more can be opened. */
     private void fillBacklog() throws IOException {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", upstream.getLocalPort());
         while (true) {
             Socket socket = new Socket();
             backlog.add(socket);
             try {
-                socket.connect(address, FILLING_CONNECT_TIMEOUT_MILLIS);
+                socket.connect(upstream.getLocalSocketAddress(), FILLING_CONNECT_TIMEOUT_MILLIS);
             } catch (SocketTimeoutException full) {
                 return;
             }
