The sidecar asks for its upstream's process only after it had time to shut down

Callers got half of a plain response without framing as whole if their upstream's process closed its connections a moment before its listener: the sidecar asked for a connection at once, which the listener still accepted.

SidecarTruncatedAnswerTest.aResponseWithoutFramingWhoseUpstreamStopsListeningSoonAfterIsNotDelivered, 1 and 30 ms: a plain response before, failed now. Responses without framing take 100 ms longer; those with a length or chunks do not.

--- a/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
+++ b/functional/src/test/java/coriandersill/functional/SidecarTruncatedAnswerTest.java
@@ -73,6 +73,19 @@
         assertThat(((Message.Failed) outcome).ran(), is(Ran.UNKNOWN));
     }
 
+    /** Guards against a sign of life of a process that ends, from a listener which it closes after its connections. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 30})
+    void aResponseWithoutFramingWhoseUpstreamStopsListeningSoonAfterIsNotDelivered(int laterMillis) {
+        answer = socket -> {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nhalf of the te");
+            socket.close();
+            sidecar.vertx.setTimer(laterMillis, timer -> upstream.close());
+        };
+
+        assertThat(call(), instanceOf(Message.Failed.class));
+    }
+
     @Test
     void aResponseWithoutFramingIsWholeIfItsUpstreamStillListens() {
         answer = socket -> {
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -28,6 +28,9 @@
     private static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
     private static final int STATUS_SERVER_ERROR = 500;
 
+    /** Longer than a process that shuts down listens after it has closed its connections. */
+    private static final long SHUTDOWN_MILLIS = 100;
+
     /** Headers that concern only the connection to the upstream. */
     private static final Set<String> NOT_FORWARDED_HEADERS =
             Set.of("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "content-length");
@@ -135,6 +138,10 @@
             onResponse(response, body);
             return;
         }
+        sidecar.vertx().setTimer(SHUTDOWN_MILLIS, timer -> call.guard().run(() -> askProcess(response, body)));
+    }
+
+    private void askProcess(HttpClientResponse response, Buffer body) {
         upstreamClient.processEvidence().onSuccess(process -> call.guard().run(() -> {
             if (process == ProcessEvidence.RUNNING) {
                 onResponse(response, body);
