A stream that breaks during its move has the rest of the move's time

Callers lost a generation 2 s after its connection broke though its engine had 8 s left and wanted no request for 2.8 s: since a broken stream waits for 1 s after the break, also if the move has more time. It now has whichever is longer.

DoubtfulStreamEndTest.aStreamThatBreaksDuringItsMoveGoesOnElsewhereWithinTheTimeOfTheMove: interrupted before, goes on now.

--- a/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
+++ b/relay/src/main/java/coriandersill/relay/internal/GenerationMove.java
@@ -294,12 +294,12 @@
         }
     }
 
-    /** Returns whether a step may be tried again; without its stream a generation waits as long as a stopped one. */
+    /** Returns whether a step may be tried again; without its stream a generation waits at least like a stopped one. */
     private boolean isInTime() {
         if (stopping) {
             return mayWaitStopped();
         }
-        return streamBroken ? pacing.mayWaitStopped(since(brokenAtNanos)) : !pacing.isOver(elapsed());
+        return !pacing.isOver(elapsed()) || (streamBroken && pacing.mayWaitStopped(since(brokenAtNanos)));
     }
 
     /** Handles the answer that the source runs no such generation: it has not started, or has ended by itself. */
