--- a/relay/src/main/java/coriandersill/relay/internal/ProcessQuestion.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ProcessQuestion.java
@@ -10,9 +10,9 @@
 /**
  * The question of a call whether the process of an upstream still runs.
  *
- * <p>An upstream that leaves is asked after {@link #SHUTDOWN_MILLIS}, an engine that wants no request after its quiet
- * time: an open connection shows only that something listens at its address. One that is too busy to answer in time is
- * asked again. Confined to the Vert.x context of its call.
+ * <p>An upstream that leaves is asked after {@link #SHUTDOWN_MILLIS}. An engine must send its report, since an open
+ * connection shows only that something listens at its address: one that wants no request, or is too busy to answer in
+ * time, is asked again for a while. Confined to the Vert.x context of its call.
  */
 final class ProcessQuestion {
     /** Longer than a process that shuts down listens after it has closed its connections. */
@@ -21,14 +21,18 @@
     /** The delay before another try if an upstream does not answer or wants no request. */
     private static final long RETRY_DELAY_MILLIS = 100;
 
-    /** How long the question is repeated; the caller waits meanwhile for the end of its response. */
+    /** The time after which a question is not repeated any more; the caller waits for the end of its response. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(2);
 
+    /** The part of the time left to the call that the repetitions take at most, so that it may still be retried. */
+    private static final int TIME_LEFT_DIVISOR = 4;
+
     private final AbstractCall call;
     private final RelayComponents components;
     private final Upstream upstream;
     private final Consumer<ProcessEvidence> onAnswer;
     private final long beganAtNanos;
+    private final Duration maxWait;
 
     /**
      * Creates the question.
@@ -41,6 +45,8 @@
         this.upstream = upstream;
         this.onAnswer = onAnswer;
         this.beganAtNanos = components.clock().nanos();
+        Duration share = call.timeLeft().dividedBy(TIME_LEFT_DIVISOR);
+        this.maxWait = share.compareTo(MAX_WAIT) < 0 ? share : MAX_WAIT;
     }
 
     void ask() {
@@ -66,16 +72,16 @@
     private void handleState(EngineProcessState state) {
         if (state == EngineProcessState.RUNNING) {
             onAnswer.accept(ProcessEvidence.RUNNING);
-        } else if (state == EngineProcessState.ENDED) {
-            onAnswer.accept(ProcessEvidence.NOT_KNOWN_TO_RUN);
-        } else {
+        } else if (state != EngineProcessState.ENDED && isEngine()) {
             askLater();
+        } else {
+            onAnswer.accept(ProcessEvidence.NOT_KNOWN_TO_RUN);
         }
     }
 
     private void askLater() {
         Duration waited = Duration.ofNanos(components.clock().nanos() - beganAtNanos);
-        if (waited.compareTo(MAX_WAIT) < 0) {
+        if (waited.compareTo(maxWait) < 0) {
             call.runLater(RETRY_DELAY_MILLIS, this::askUnlessQuiet);
         } else {
             onAnswer.accept(ProcessEvidence.NOT_KNOWN_TO_RUN);
