--- a/soak/src/main/java/coriandersill/soak/FaultKind.java
+++ b/soak/src/main/java/coriandersill/soak/FaultKind.java
@@ -1,6 +1,5 @@
 package coriandersill.soak;
 
-import coriandersill.platform.FixedBehavior;
 import java.util.List;
 import java.util.Random;
 
@@ -18,6 +17,12 @@
                     random,
                     new Random(~seed));
         }
+
+        /** In chunks alone: a link that is cut between two events of a stream without framing passes for its end. */
+        @Override
+        EngineBehaviors engineBehaviors(long seed) {
+            return EngineBehaviors.CHUNKED;
+        }
     },
     /** Records of another writer, and upstreams that leave one after the other beside them. */
     DEPARTURES {
@@ -61,7 +66,7 @@
         /** Streams in chunks alone: with other framings, reports that come late beside floods are not traced yet. */
         @Override
         EngineBehaviors engineBehaviors(long seed) {
-            return engineId -> FixedBehavior.DEFAULT;
+            return EngineBehaviors.CHUNKED;
         }
     },
     /** Stops of entries before engines that are full, with reloads and changed configurations beside them. */
