--- a/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
+++ b/relay/src/main/java/coriandersill/relay/internal/PlainCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
 import coriandersill.relay.ResponseHead;
+import coriandersill.responses.BodyEnd;
 import coriandersill.responses.ProcessEvidence;
 import coriandersill.routing.CallResult;
 import io.vertx.core.buffer.Buffer;
@@ -105,17 +106,15 @@
 
         @Override
         public void ended() {
-            if (head.framed()) {
-                complete();
-                return;
+            judgeEnd(ProcessEvidence.NOT_ASKED);
+        }
+
+        private void judgeEnd(ProcessEvidence process) {
+            switch (new BodyEnd(head.framing(), process).verdict()) {
+                case WHOLE -> complete();
+                case ASK_PROCESS -> askWhetherProcessRuns(target, this::judgeEnd);
+                default -> failed(unprovenEnd("the process of its upstream may have ended"));
             }
-            askWhetherProcessRuns(target, process -> {
-                if (process == ProcessEvidence.RUNNING) {
-                    complete();
-                } else {
-                    failed(unprovenEnd("the process of its upstream may have ended"));
-                }
-            });
         }
 
         private void complete() {
--- a/relay/src/main/java/coriandersill/relay/internal/ProcessQuestion.java
+++ b/relay/src/main/java/coriandersill/relay/internal/ProcessQuestion.java
@@ -2,6 +2,7 @@
 
 import coriandersill.relay.EngineProcessState;
 import coriandersill.relay.ProcessCheck;
+import coriandersill.responses.BodyEnd;
 import coriandersill.responses.ProcessEvidence;
 import coriandersill.upstreams.Upstream;
 import java.time.Duration;
@@ -10,14 +11,11 @@
 /**
  * The question of a call whether the process of an upstream still runs.
  *
- * <p>An upstream that leaves is asked after {@link #SHUTDOWN_MILLIS}. An engine must send its report, since an open
- * connection shows only that something listens at its address: one that wants no request, or is too busy to answer in
- * time, is asked again for a while. Confined to the Vert.x context of its call.
+ * <p>An upstream that leaves is asked after {@link BodyEnd#SHUTDOWN_TIME}. An engine must send its report, since an
+ * open connection shows only that something listens at its address: one that wants no request, or is too busy to answer
+ * in time, is asked again for a while. Confined to the Vert.x context of its call.
  */
 final class ProcessQuestion {
-    /** Longer than a process that shuts down listens after it has closed its connections. */
-    private static final long SHUTDOWN_MILLIS = 100;
-
     /** The delay before another try if an upstream does not answer or wants no request. */
     private static final long RETRY_DELAY_MILLIS = 100;
 
@@ -51,7 +49,7 @@
 
     void ask() {
         if (components.upstreams().isLeavingOrUnknown(upstream.instance())) {
-            call.runLater(SHUTDOWN_MILLIS, this::askUnlessQuiet);
+            call.runLater(BodyEnd.SHUTDOWN_TIME.toMillis(), this::askUnlessQuiet);
         } else {
             askUnlessQuiet();
         }
--- /dev/null
+++ b/responses/src/main/java/coriandersill/responses/BodyEnd.java
@@ -0,0 +1,51 @@
+package coriandersill.responses;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * What is known when a body ends that is delivered as a whole; {@link #verdict} decides whether it is. The end of a
+ * stream, which an engine may have been told to stop, is a {@link StreamEnd}.
+ *
+ * @param framing what tells the end of the body from the end of its connection
+ * @param process what is known of the upstream's process
+ */
+public record BodyEnd(Framing framing, ProcessEvidence process) {
+    /**
+     * How long after the end of a body the process of an upstream that may be shutting down is asked: longer than one
+     * listens after it has closed its connections.
+     */
+    public static final Duration SHUTDOWN_TIME = Duration.ofMillis(100);
+
+    /** What becomes of the body. */
+    public enum Verdict {
+        /** The body is whole. */
+        WHOLE,
+        /** The upstream's process must be asked, then the end is judged again. */
+        ASK_PROCESS,
+        /** The end does not show that the body is whole. */
+        NOT_PROVEN
+    }
+
+    /**
+     * Checks the arguments.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    public BodyEnd {
+        Objects.requireNonNull(framing, "framing");
+        Objects.requireNonNull(process, "process");
+    }
+
+    /** Returns the decision. */
+    public Verdict verdict() {
+        if (framing == Framing.DELIMITED) {
+            return Verdict.WHOLE;
+        }
+        return switch (process) {
+            case NOT_ASKED -> Verdict.ASK_PROCESS;
+            case RUNNING -> Verdict.WHOLE;
+            case NOT_KNOWN_TO_RUN -> Verdict.NOT_PROVEN;
+        };
+    }
+}
--- a/responses/src/main/java/coriandersill/responses/StreamEnd.java
+++ b/responses/src/main/java/coriandersill/responses/StreamEnd.java
@@ -58,10 +58,10 @@
     }
 
     private Verdict verdictByProcess() {
-        return switch (process) {
-            case NOT_ASKED -> Verdict.ASK_PROCESS;
-            case RUNNING -> Verdict.COMPLETE;
-            case NOT_KNOWN_TO_RUN -> Verdict.NOT_PROVEN;
+        return switch (new BodyEnd(framing, process).verdict()) {
+            case WHOLE -> Verdict.COMPLETE;
+            case ASK_PROCESS -> Verdict.ASK_PROCESS;
+            case NOT_PROVEN -> Verdict.NOT_PROVEN;
         };
     }
 
--- a/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
+++ b/sidecar/src/main/java/coriandersill/sidecar/internal/PlainCall.java
@@ -4,6 +4,7 @@
 import coriandersill.core.CallFailure;
 import coriandersill.core.ErrorKind;
 import coriandersill.core.Ran;
+import coriandersill.responses.BodyEnd;
 import coriandersill.responses.Framing;
 import coriandersill.responses.ProcessEvidence;
 import coriandersill.responses.ResponseStatus;
@@ -28,9 +29,6 @@
     private static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
     private static final int STATUS_SERVER_ERROR = 500;
 
-    /** Longer than a process that shuts down listens after it has closed its connections. */
-    private static final long SHUTDOWN_MILLIS = 100;
-
     /** Headers that concern only the connection to the upstream. */
     private static final Set<String> NOT_FORWARDED_HEADERS =
             Set.of("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "content-length");
@@ -130,26 +128,26 @@
 
     /** Without framing, the end of the body only shows that its connection ended, as by a crash of the upstream. */
     private void onBodyEnd(HttpClientResponse response, Buffer body) {
+        judgeEnd(response, body, ProcessEvidence.NOT_ASKED);
+    }
+
+    private void judgeEnd(HttpClientResponse response, Buffer body, ProcessEvidence process) {
         Framing framing = Framing.of(
                 response.statusCode(),
                 response.headers().getAll(HttpHeaders.TRANSFER_ENCODING),
                 response.headers().contains(HttpHeaders.CONTENT_LENGTH));
-        if (framing == Framing.DELIMITED) {
-            onResponse(response, body);
-            return;
+        switch (new BodyEnd(framing, process).verdict()) {
+            case WHOLE -> onResponse(response, body);
+            case ASK_PROCESS -> sidecar.vertx().setTimer(BodyEnd.SHUTDOWN_TIME.toMillis(), timer -> call.guard()
+                    .run(() -> askProcess(response, body)));
+            default -> onConnectionLost(
+                    new IllegalStateException("its process is not known to run after a response without framing"));
         }
-        sidecar.vertx().setTimer(SHUTDOWN_MILLIS, timer -> call.guard().run(() -> askProcess(response, body)));
     }
 
     private void askProcess(HttpClientResponse response, Buffer body) {
-        upstreamClient.processEvidence().onSuccess(process -> call.guard().run(() -> {
-            if (process == ProcessEvidence.RUNNING) {
-                onResponse(response, body);
-            } else {
-                onConnectionLost(
-                        new IllegalStateException("its process is not known to run after a response without framing"));
-            }
-        }));
+        upstreamClient.processEvidence().onSuccess(process -> call.guard()
+                .run(() -> judgeEnd(response, body, process)));
     }
 
     private void onResponse(HttpClientResponse response, Buffer body) {
