--- a/review/harness-2/CrashingPartCase.java
+++ b/review/harness-2/CrashingPartCase.java
@@ -12,19 +12,22 @@
     static final int MAX_LATE_REQUESTS = 3;
     static final int COUNTED_CRASH = 5;
 
-    private static final int WORKERS = 6;
+    private static final Deployment.Site SITE = Deployment.Site.AWAJ_HUB_GROWN;
+    private static final int WORKERS = 36;
     private static final int SECONDS = 24;
-    private static final double CRASHING_PER_SECOND = 5;
-    private static final double SOUND_PER_SECOND = 2.43;
+    private static final double CRASHING_PER_SECOND = 7;
+    private static final double SOUND_PER_SECOND = 4.5;
 
     /** When requests with the crashing part began to run at workers, and when workers crashed. */
     static final class Counter implements Worker.Listener {
         private final Recorder recorder;
+        private final Deployment.Site site;
         private final List<Double> runs = new CopyOnWriteArrayList<>();
         private final List<Double> crashes = new CopyOnWriteArrayList<>();
 
-        Counter(Recorder recorder) {
+        Counter(Recorder recorder, Deployment.Site site) {
             this.recorder = recorder;
+            this.site = site;
         }
 
         @Override
@@ -46,7 +49,7 @@
             if (crashes.size() < COUNTED_CRASH) {
                 return 0;
             }
-            double from = crashes.get(COUNTED_CRASH - 1) + Deployment.CONTACT_MILLIS / 1_000.0;
+            double from = crashes.get(COUNTED_CRASH - 1) + site.contactMillis() / 1_000.0;
             long late = runs.stream().filter(at -> at > from).count();
             recorder.note(String.format("later than %.2f, contact_ms after the fifth: %d", from, late));
             return late;
@@ -59,9 +62,9 @@
 
     @Override
     public boolean run(Path root, Recorder recorder, boolean trouble) throws Exception {
-        Counter counter = new Counter(recorder);
-        Worker.Kind engine = new Worker.Kind(Deployment.MODEL_SERVICE, "v1", 64, 0, 0, true);
-        try (Deployment deployment = new Deployment(root, recorder, Deployment.Site.SILVERBEND_OPS, 4);
+        Counter counter = new Counter(recorder, SITE);
+        Worker.Kind engine = new Worker.Kind(Deployment.MODEL_SERVICE, "v1", 24, 0, 0, true);
+        try (Deployment deployment = new Deployment(root, recorder, SITE, 4);
                 Clients clients = new Clients(deployment, 7)) {
             for (int i = 0; i < WORKERS; i++) {
                 deployment.addWorker(engine, i, counter, Set.of(CRASHING_PART), RESTART_MILLIS);
--- a/review/harness-2/Deployment.java
+++ b/review/harness-2/Deployment.java
@@ -13,18 +13,33 @@
 final class Deployment implements AutoCloseable {
     /** What differs in the settings of the sites. */
     enum Site {
-        SILVERBEND_OPS(430, 58, 9.4),
-        AWAJ_HUB(280, 54, 5.9);
+        SILVERBEND_OPS(430, 58, 9.4, Bounds.SMALL),
+        AWAJ_HUB(280, 54, 5.9, Bounds.SMALL),
+        AWAJ_HUB_GROWN(430, 96, 5.7, Bounds.GROWN);
 
         private final int memoryMegabytes;
         private final int retryBudgetExtra;
         private final double reuseWindowSeconds;
+        private final Bounds bounds;
 
-        Site(int memoryMegabytes, int retryBudgetExtra, double reuseWindowSeconds) {
+        Site(int memoryMegabytes, int retryBudgetExtra, double reuseWindowSeconds, Bounds bounds) {
             this.memoryMegabytes = memoryMegabytes;
             this.retryBudgetExtra = retryBudgetExtra;
             this.reuseWindowSeconds = reuseWindowSeconds;
+            this.bounds = bounds;
         }
+
+        int contactMillis() {
+            return bounds.contactMillis();
+        }
+    }
+
+    /** The bounds that are the same for all small sites, and for all grown ones. */
+    private record Bounds(
+            int contactMillis, int acknowledgeMillis, int catchUpSeconds, int drainMillis, int configApplyMillis,
+            int outerBoundMillis, int recoverySeconds, int passTimeMillis) {
+        private static final Bounds SMALL = new Bounds(3_000, 4_000, 4, 2_000, 2_000, 5_000, RECOVERY_SECONDS, 120);
+        private static final Bounds GROWN = new Bounds(4_000, 6_000, 6, 3_000, 3_000, 6_000, 15, 200);
     }
 
     static final String MODEL_SERVICE = "darkroom";
@@ -32,7 +47,6 @@
     static final String HOST = "lab.example";
     static final String KEY = "k3yofthefirsthouse00";
     static final String TENANT = "house-1";
-    static final int CONTACT_MILLIS = 3_000;
     static final double EXPOSURE_FRACTION = 0.1;
     static final int EXPOSURE_TOLERANCE = 50;
     static final int RECOVERY_SECONDS = 12;
@@ -109,13 +123,17 @@
                 + "\"heartbeat_interval_ms\":" + Worker.HEARTBEAT_MILLIS + ",\"contracts\":[\"base\",\"drain\","
                 + "\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"places\",\"rollout\","
                 + "\"platform\"],\"fault_tolerance\":{\"machines\":1,\"zones\":1,\"regions\":0},\"bounds\":{"
-                + "\"seed_lag_s\":3,\"address_reuse_s\":2,\"contact_ms\":" + CONTACT_MILLIS + ",\"acknowledge_ms\":4000,"
-                + "\"catch_up_s\":4,\"drain_ms\":2000,\"grace_period_s\":8,\"loss_slack_ms\":200,"
-                + "\"config_apply_ms\":2000,\"downgrade_slack_ms\":250,\"outer_bound_ms\":5000,"
+                + "\"seed_lag_s\":3,\"address_reuse_s\":2,\"contact_ms\":" + site.bounds.contactMillis() + ",\"acknowledge_ms\":"
+                + site.bounds.acknowledgeMillis() + ","
+                + "\"catch_up_s\":" + site.bounds.catchUpSeconds() + ",\"drain_ms\":" + site.bounds.drainMillis()
+                + ",\"grace_period_s\":8,\"loss_slack_ms\":200,"
+                + "\"config_apply_ms\":" + site.bounds.configApplyMillis()
+                + ",\"downgrade_slack_ms\":250,\"outer_bound_ms\":" + site.bounds.outerBoundMillis() + ","
                 + "\"revocation_strict\":false,\"revocation_ms\":5000,\"retry_budget_ratio\":0.2,\"budget_window_s\":10,"
                 + "\"retry_budget_extra\":" + site.retryBudgetExtra + ",\"exposure_fraction\":" + EXPOSURE_FRACTION + ",\"exposure_tolerance\":"
                 + EXPOSURE_TOLERANCE + ",\"rollback_ms\":5000,\"cold_overrun\":1.5,\"cold_tolerance\":5,"
-                + "\"evacuation_ms\":5000,\"recovery_s\":" + RECOVERY_SECONDS + ",\"pass_time_ms\":120,"
+                + "\"evacuation_ms\":5000,\"recovery_s\":" + site.bounds.recoverySeconds() + ",\"pass_time_ms\":"
+                + site.bounds.passTimeMillis() + ","
                 + "\"reuse_window_s\":" + site.reuseWindowSeconds + "},\"platform\":{\"address\":\"" + storeAddress + "\",\"form\":\"log\","
                 + "\"writes_per_s\":400,\"reads_per_s\":2000,\"parts\":12,\"append_latency_ms\":2.0,"
                 + "\"partition_mb_s\":20.0,\"read_mb_s\":80.0,\"record_bytes\":262144,\"call_bytes\":2097152,"
--- a/review/harness-2/RestoredQuarantineCase.java
+++ b/review/harness-2/RestoredQuarantineCase.java
@@ -14,7 +14,7 @@
 
     @Override
     public boolean run(Path root, Recorder recorder, boolean trouble) throws Exception {
-        CrashingPartCase.Counter counter = new CrashingPartCase.Counter(recorder);
+        CrashingPartCase.Counter counter = new CrashingPartCase.Counter(recorder, Deployment.Site.AWAJ_HUB);
         Worker.Kind engine = new Worker.Kind(Deployment.MODEL_SERVICE, "v1", 64, 0, 0, true);
         try (Deployment deployment = new Deployment(root, recorder, Deployment.Site.AWAJ_HUB, 4);
                 Clients clients = new Clients(deployment, 9)) {
