--- a/review/harness-2/TruncatedStreamCase.java
+++ b/review/harness-2/TruncatedStreamCase.java
@@ -8,7 +8,9 @@
     private static final int OUTPUT_TOKENS = 80;
     private static final int EVENTS = OUTPUT_TOKENS / 4;
     private static final int TRUNCATED_INTERVAL = 20;
-    private static final int SECONDS = 40;
+    private static final int PERIODS = 6;
+    private static final long FAULTY_MILLIS = 5_000;
+    private static final long SOUND_MILLIS = 3_000;
     private static final double PER_SECOND = 5.82;
 
     @Override
@@ -17,14 +19,17 @@
         try (Deployment deployment = new Deployment(root, recorder, Deployment.Site.SILVERBEND_OPS, 3);
                 Clients clients = new Clients(deployment, 11)) {
             for (int i = 0; i < WORKERS; i++) {
-                Worker worker = deployment.addWorker(engine, i, (running, request) -> {}, Set.of(), 0);
-                if (trouble && i < WORKERS / 2) {
-                    worker.truncateOneOf(TRUNCATED_INTERVAL);
-                }
+                deployment.addWorker(engine, i, (running, request) -> {}, Set.of(), 0);
             }
+            List<Worker> faulty = trouble ? deployment.workers.subList(0, WORKERS / 2) : List.of();
             deployment.startEntries();
             Thread traffic = CrashingPartCase.sendBeside(clients, CrashingPartCase.SHARED_PART, PER_SECOND);
-            Thread.sleep(SECONDS * 1_000L);
+            for (int period = 0; period < PERIODS; period++) {
+                Thread.sleep(SOUND_MILLIS);
+                faulty.forEach(worker -> worker.truncateOneOf(TRUNCATED_INTERVAL));
+                Thread.sleep(FAULTY_MILLIS);
+                faulty.forEach(worker -> worker.truncateOneOf(0));
+            }
             traffic.interrupt();
             Thread.sleep(2_500);
             List<Clients.Call> broken = clients.calls(call -> call.served() && !isWhole(call.answer().body()));
--- a/review/harness-2/Worker.java
+++ b/review/harness-2/Worker.java
@@ -39,8 +39,6 @@
     private final AtomicInteger active = new AtomicInteger();
     private final AtomicInteger answers = new AtomicInteger();
     private final Map<String, Boolean> running = new ConcurrentHashMap<>();
-    private final java.util.ArrayDeque<Long> recentNanos = new java.util.ArrayDeque<>();
-    private volatile int bearablePerSecond = -1;
     private volatile int truncatedInterval;
     private final AtomicInteger streams = new AtomicInteger();
     private volatile int starts = 1;
@@ -87,30 +85,11 @@
         return kind.version();
     }
 
-    /** Makes answers fail only while more requests than that came in the last second. */
-    void failOnlyAbove(int perSecond) {
-        bearablePerSecond = perSecond;
-    }
-
-    /** Makes one of so many streams end inside an event. */
+    /** Makes one of so many streams end inside an event, or none if 0. */
     void truncateOneOf(int interval) {
         truncatedInterval = interval;
     }
 
-    private boolean isLoaded() {
-        if (bearablePerSecond < 0) {
-            return true;
-        }
-        synchronized (recentNanos) {
-            long now = System.nanoTime();
-            recentNanos.addLast(now);
-            while (now - recentNanos.peekFirst() > 1_000_000_000L) {
-                recentNanos.removeFirst();
-            }
-            return recentNanos.size() > bearablePerSecond;
-        }
-    }
-
     private void report() {
         try {
             while (!ended) {
@@ -241,9 +220,8 @@
     }
 
     private boolean answer(String attempt, OutputStream out) throws IOException {
-        boolean loaded = isLoaded();
         pause(kind.workMillis());
-        boolean fails = loaded && (answers.getAndIncrement() * 7) % 10 < kind.failuresInTen();
+        boolean fails = (answers.getAndIncrement() * 7) % 10 < kind.failuresInTen();
         Http.respond(out, fails ? 500 : 200, answerLines(attempt), ("done " + attempt).getBytes(StandardCharsets.UTF_8));
         return true;
     }
