--- a/review/harness-2/CrashingPartCase.java
+++ b/review/harness-2/CrashingPartCase.java
@@ -14,8 +14,9 @@
 
     private static final Deployment.Site SITE = Deployment.Site.AWAJ_HUB_GROWN;
     private static final int WORKERS = 36;
+    private static final int RESTARTED_AFTER_MILLIS = 3_000;
     private static final int SECONDS = 24;
-    private static final double CRASHING_PER_SECOND = 7;
+    private static final double CRASHING_PER_SECOND = 10;
     private static final double SOUND_PER_SECOND = 4.5;
 
     /** When requests with the crashing part began to run at workers, and when workers crashed. */
@@ -67,7 +68,7 @@
         try (Deployment deployment = new Deployment(root, recorder, SITE, 4);
                 Clients clients = new Clients(deployment, 7)) {
             for (int i = 0; i < WORKERS; i++) {
-                deployment.addWorker(engine, i, counter, Set.of(CRASHING_PART), RESTART_MILLIS);
+                deployment.addWorker(engine, i, counter, Set.of(CRASHING_PART), RESTARTED_AFTER_MILLIS);
             }
             deployment.startEntries();
             Thread sound = sendBeside(clients, SHARED_PART, SOUND_PER_SECOND);
--- a/review/harness-2/Worker.java
+++ b/review/harness-2/Worker.java
@@ -161,11 +161,19 @@
             server.crash();
         }
         String gone = id;
-        Thread restart = new Thread(() -> {
+        Thread expiry = new Thread(() -> {
             try {
-                Thread.sleep(Math.min(restartMillis, 3 * HEARTBEAT_MILLIS));
+                Thread.sleep(3 * HEARTBEAT_MILLIS);
                 store.put("keyed.servers", gone, "");
-                Thread.sleep(Math.max(0, restartMillis - 3 * HEARTBEAT_MILLIS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        expiry.setDaemon(true);
+        expiry.start();
+        Thread restart = new Thread(() -> {
+            try {
+                Thread.sleep(restartMillis);
                 synchronized (this) {
                     starts++;
                     id = "i-" + name + "-" + starts;
