--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,11 +5,18 @@
 set -u
 folder="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$folder/../.." && pwd)"
-if [ ! -e "$root/target/review-2/Review.class" ]; then
-  echo "run review/build-2.sh first" >&2
+if [ ! -e "$root/target/review-2/Review.class" ] || [ ! -d "$root/target/coriandersill-platform" ]; then
+  echo "run bin/build-entry and review/build-2.sh first" >&2
   exit 2
 fi
-timeout -k 5 115 java -Xmx256m -cp "$root/target/review-2" Review truncated-stream "$root" "$folder"
+# Ended early, the program still ends the entries that it started.
+timeout -k 5 112 java -Xmx256m -cp "$root/target/review-2" Review truncated-stream "$root" "$folder" &
+program=$!
+trap 'kill "$program" 2>/dev/null' TERM INT HUP
+wait "$program"
 status=$?
-[ "$status" -le 1 ] && exit "$status"
-exit 2
+case "$status" in
+  0) exit 0 ;;
+  11) exit 1 ;;
+  *) wait "$program" 2>/dev/null; exit 2 ;;
+esac
--- a/review/harness-2/RestoredQuarantineCase.java
+++ b/review/harness-2/RestoredQuarantineCase.java
@@ -33,10 +33,12 @@
             recorder.note("quarantined before the store is away: "
                     + deployment.store.newest("keyed.entries", "part/" + CrashingPartCase.CRASHING_PART));
             if (trouble) {
+                counter.unstable();
                 deployment.store.leave();
                 recorder.note("the store is away");
                 Thread.sleep(AWAY_MILLIS);
                 deployment.store.returnFromCopy();
+                counter.stable();
                 recorder.note("the store is back from the copy");
                 // What the operator and the workers wrote is written again.
                 recorder.line("operator", "configuration again at offset " + deployment.writeConfiguration());
